--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"time"
 
-	"tansyplank/control"
-	"tansyplank/internal/wire"
+	"wheatlane/control"
+	"wheatlane/internal/wire"
 )
 
 func main() {
--- a/cmd/adapter/main_test.go
+++ b/cmd/adapter/main_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"tansyplank/internal/wire"
+	"wheatlane/internal/wire"
 )
 
 const create = `CREATE RngSeed=1 ProfileData={"PeersTotal": 1, "RoundNs": 5000000, "MachineTypes": ["std"], ` +
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"tansyplank/control"
+	"wheatlane/control"
 )
 
 // One gateway, one engine: a query is taken, sent and answered. A host calls Handle with whatever happened
--- a/control/state.go
+++ b/control/state.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"tansyplank/internal/rls"
+	"wheatlane/internal/rls"
 )
 
 const firstToken = 16 // timer tokens below it are the module's own ticks
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"tansyplank/control"
+	"wheatlane/control"
 )
 
 // profile is the part of the settings object that the module uses.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"tansyplank/control"
+	"wheatlane/control"
 )
 
 // Create asks for a new instance.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"tansyplank/control"
+	"wheatlane/control"
 )
 
 const profileJSON = `{"PeersTotal": 3, "Zone": "room-b", "RoundNs": 5000000, "Unknown": {"x": [1]},
