--- /dev/null
+++ b/cmd/wheatlane/main.go
@@ -0,0 +1,66 @@
+// Command wheatlane is a broker: it takes queries from clients, lets the decision module choose when and on
+// which engine each runs, and answers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"wheatlane/internal/config"
+	"wheatlane/internal/node"
+)
+
+// heapPart is the part of the memory limit at which the runtime collects harder; the rest is for what it
+// does not count: kernel buffers, the program itself.
+const heapPart = 0.6
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "wheatlane:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(1) // the processes of a broker run on one core
+	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB) * (1 << 20)))
+
+	logs := zap.NewProductionConfig()
+	logs.Sampling = nil // every ended connection has its line
+	logs.DisableCaller = true
+	log, err := logs.Build()
+	if err != nil {
+		return fmt.Errorf("log: %w", err)
+	}
+	defer log.Sync() //nolint:errcheck // standard error may not be one that can be synced
+	log = log.With(zap.String("broker", cfg.Name))
+
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	n, err := node.New(context.Background(), cfg, log)
+	if err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	go func() {
+		<-signals
+		close(stop)
+	}()
+	log.Info("serving", zap.Stringer("listen", n.Addr()), zap.Int64("seq", cfg.Known.Seq))
+	if err := n.Run(context.Background(), stop); err != nil {
+		return err
+	}
+	log.Info("stopped")
+	return nil
+}
--- /dev/null
+++ b/internal/broker/broker.go
@@ -0,0 +1,627 @@
+package broker
+
+import (
+	"bytes"
+	"container/heap"
+	"slices"
+	"strconv"
+	"time"
+
+	"wheatlane/control"
+	"wheatlane/internal/changelog"
+)
+
+const (
+	// MostResult is the largest result, in bytes of its pages together.
+	MostResult = 48000
+	columns    = 3 // of every row
+
+	pageTimeout  = 500 * time.Millisecond // for each page: a silent engine is given up after it
+	probeTimeout = 250 * time.Millisecond
+	mostQueued   = 16 // commands that a session may have waiting for their turn
+)
+
+// Broker is the reducer. It is not safe for concurrent use.
+type Broker struct {
+	decide    *control.Controller
+	round     time.Duration
+	fields    []string
+	lastRound time.Duration
+	pending   []control.Event
+	out       []Effect
+
+	sessions map[Session]*session
+	requests map[uint64]*request
+	nextID   uint64
+	open     int // requests that are owed an answer
+
+	engines map[string]*engine
+	ready   int // engines in service
+	seq     int64
+
+	probes  map[uint64]probe
+	timers  timers
+	ordinal uint64
+	stopped bool
+}
+
+type session struct {
+	open  *request // what it waits for an answer to
+	queue []Event  // commands that came meanwhile
+}
+
+type request struct {
+	Request
+	id       uint64
+	name     string // id as the module knows it
+	session  Session
+	over     bool // answered, or its client is gone
+	deadline time.Duration
+	grantMB  float64
+	priority int
+	attempts []*attempt
+}
+
+type attempt struct {
+	id      Attempt
+	r       *request
+	engine  string
+	sent    time.Duration
+	out     bool
+	ending  control.Status // how it ends once its engine has been told; OK while it is not being given up
+	served  *Served
+	pages   [][]byte
+	missing int
+	size    int
+}
+
+type engine struct {
+	changelog.Host
+}
+
+type probe struct {
+	engine string
+	sent   time.Duration
+}
+
+// New returns a broker that knows no engines yet.
+func New(set control.Settings, seed uint64) (*Broker, error) {
+	c, err := control.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Broker{decide: c, round: set.Round, fields: set.ReportFields, sessions: map[Session]*session{},
+		requests: map[uint64]*request{}, engines: map[string]*engine{}, probes: map[uint64]probe{}}, nil
+}
+
+// Seq is the number of the last change taken.
+func (b *Broker) Seq() int64 { return b.seq }
+
+// Open is the number of requests that are owed an answer.
+func (b *Broker) Open() int { return b.open }
+
+// Next is the time at which Tick has something to do; ok is false if there is nothing.
+func (b *Broker) Next() (at time.Duration, ok bool) {
+	if len(b.pending) > 0 {
+		at, ok = b.lastRound+b.round, true
+	}
+	if len(b.timers) > 0 && (!ok || b.timers[0].at < at) {
+		at, ok = b.timers[0].at, true
+	}
+	return at, ok
+}
+
+// Tick fires what is due and, if the last round is long enough ago, hands what has happened to the module.
+func (b *Broker) Tick(now time.Duration) []Effect {
+	for len(b.timers) > 0 && b.timers[0].at <= now {
+		heap.Pop(&b.timers).(timer).fire(now)
+	}
+	if len(b.pending) > 0 && now >= b.lastRound+b.round {
+		b.lastRound = now
+		events := b.pending
+		b.pending = nil
+		// Requests read late in one go are taken in the order in which they were sent: those of one key must
+		// run in that order, on whichever connections they came.
+		inOrder(events)
+		for _, a := range b.decide.Handle(now, events) {
+			b.act(now, a)
+		}
+	}
+	return b.take()
+}
+
+// inOrder sorts the arrivals among events by the time they were sent; all else keeps its place.
+func inOrder(events []control.Event) {
+	var places []int
+	var arrivals []arrival
+	for i, ev := range events {
+		if a, ok := ev.(arrival); ok {
+			places, arrivals = append(places, i), append(arrivals, a)
+		}
+	}
+	slices.SortStableFunc(arrivals, func(a, b arrival) int { return int(a.sent - b.sent) })
+	for i, at := range places {
+		events[at] = arrivals[i].Arrival
+	}
+}
+
+// arrival is a control.Arrival with the time at which it was sent, until its round.
+type arrival struct {
+	control.Arrival
+	sent time.Duration
+}
+
+func (b *Broker) take() []Effect {
+	out := b.out
+	b.out = nil
+	return out
+}
+
+func (b *Broker) do(e Effect)              { b.out = append(b.out, e) }
+func (b *Broker) tell(ev control.Event)    { b.pending = append(b.pending, ev) }
+func (b *Broker) reply(s Session, r Reply) { r.Session = s; b.do(r) }
+
+func (b *Broker) after(at time.Duration, fire func(now time.Duration)) {
+	b.ordinal++
+	heap.Push(&b.timers, timer{at, b.ordinal, fire})
+}
+
+// Apply takes one event.
+func (b *Broker) Apply(now time.Duration, ev Event) []Effect {
+	switch ev := ev.(type) {
+	case Submit:
+		b.command(now, ev.Session, ev)
+	case Ping:
+		b.command(now, ev.Session, ev)
+	case Kill:
+		b.command(now, ev.By, ev)
+	case Bad:
+		b.command(now, ev.Session, ev)
+	case SessionClosed:
+		if s := b.sessions[ev.Session]; s != nil {
+			if s.open != nil {
+				b.gone(s.open)
+			}
+			delete(b.sessions, ev.Session)
+		}
+	case Served:
+		b.served(now, ev)
+	case Page:
+		b.page(now, ev)
+	case Ended:
+		b.ended(now, ev)
+	case Probed:
+		b.probed(now, ev)
+	case Changes:
+		b.changes(ev.Page)
+	case Stop:
+		b.stop(now, ev.Within)
+	}
+	return b.take()
+}
+
+// command takes what a session asks, one thing at a time: what comes ahead of an answer waits its turn.
+func (b *Broker) command(now time.Duration, id Session, ev Event) {
+	s := b.sessions[id]
+	if s == nil {
+		s = &session{}
+		b.sessions[id] = s
+	}
+	if s.open != nil {
+		if len(s.queue) >= mostQueued {
+			b.do(CloseSession{id})
+			return
+		}
+		s.queue = append(s.queue, ev)
+		return
+	}
+	switch ev := ev.(type) {
+	case Submit:
+		b.submit(s, ev)
+	case Ping:
+		if b.stopped || b.ready == 0 {
+			b.reply(id, Reply{Kind: NotReady, Text: "no engine can be used, or the broker is stopping"})
+		} else {
+			b.reply(id, Reply{Kind: Done})
+		}
+	case Kill:
+		target := b.sessions[ev.Target]
+		if target == nil {
+			b.reply(id, Reply{Kind: NoSession, Text: "no such session"})
+			return
+		}
+		b.reply(id, Reply{Kind: Done})
+		if r := target.open; r != nil {
+			b.reply(ev.Target, Reply{Kind: Interrupted, Text: "the query was killed"})
+			b.gone(r)
+			b.idle(now, ev.Target)
+		}
+		if ev.Connection {
+			b.do(CloseSession{ev.Target})
+		}
+	case Bad:
+		b.reply(id, ev.Reply)
+	}
+}
+
+func (b *Broker) submit(s *session, ev Submit) {
+	b.nextID++
+	r := &request{Request: ev.Request, id: b.nextID, name: strconv.FormatUint(b.nextID, 10), session: ev.Session,
+		deadline: ev.Request.Sent + ev.Request.Allow, priority: 1}
+	b.requests[r.id] = r
+	s.open = r
+	b.open++
+	b.tell(arrival{sent: r.Sent, Arrival: control.Arrival{Query: control.Query{ID: r.name, Class: r.Class, Tenant: r.Tenant,
+		Key: r.Order, Tables: r.Group, Deadline: r.deadline, Work: r.Work, MemoryMB: r.MemoryMB}}})
+}
+
+// idle lets a session go on with what came ahead of its answer.
+func (b *Broker) idle(now time.Duration, id Session) {
+	s := b.sessions[id]
+	if s == nil {
+		return
+	}
+	s.open = nil
+	for s.open == nil && len(s.queue) > 0 {
+		ev := s.queue[0]
+		s.queue = s.queue[1:]
+		b.command(now, id, ev)
+	}
+}
+
+// gone ends a request whose client waits no more; nothing is owed for it.
+func (b *Broker) gone(r *request) {
+	if b.finish(r) {
+		b.tell(control.ClientGone{Query: r.name})
+	}
+}
+
+// finish marks a request as over; false if it was.
+func (b *Broker) finish(r *request) bool {
+	if r.over {
+		return false
+	}
+	r.over = true
+	b.open--
+	b.forget(r)
+	return true
+}
+
+// answer gives a request its one final answer.
+func (b *Broker) answer(now time.Duration, r *request, reply Reply) {
+	if b.finish(r) {
+		b.reply(r.session, reply)
+		b.idle(now, r.session)
+	}
+}
+
+// forget drops a request that is over once none of its attempts is out.
+func (b *Broker) forget(r *request) {
+	if r.over && !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.out }) {
+		delete(b.requests, r.id)
+	}
+}
+
+// act carries out one action of the module.
+func (b *Broker) act(now time.Duration, a control.Action) {
+	switch a := a.(type) {
+	case control.Send:
+		b.send(now, a)
+	case control.Refuse:
+		if r := b.named(a.Query); r != nil {
+			b.answer(now, r, Reply{Kind: Refused, Text: "the engines have no room", Cooldown: a.RetryIn})
+		}
+	case control.Fail:
+		if r := b.named(a.Query); r != nil {
+			b.answer(now, r, Reply{Kind: Failed, Text: "no engine answered in time"})
+		}
+	case control.Cancel:
+		if r := b.named(a.Query); r != nil && a.Number < len(r.attempts) {
+			b.giveUp(r.attempts[a.Number], control.Cancelled)
+		}
+	case control.Terms:
+		if r := b.named(a.Query); r != nil {
+			b.terms(r, a)
+		}
+	case control.SetTimer:
+		b.after(now+a.After, func(time.Duration) { b.tell(control.Timer{Token: a.Token}) })
+	case control.Probe:
+		b.probe(now, a.Engine)
+	case control.Log:
+		b.do(Note{a.Text})
+	case control.Watch: // changes come unasked
+	}
+}
+
+func (b *Broker) named(query string) *request {
+	id, err := strconv.ParseUint(query, 10, 64)
+	if err != nil {
+		return nil
+	}
+	return b.requests[id]
+}
+
+func (b *Broker) send(now time.Duration, s control.Send) {
+	r := b.named(s.Query)
+	if r == nil {
+		return
+	}
+	a := &attempt{id: Attempt{r.id, len(r.attempts)}, r: r, engine: s.Engine, sent: now, out: true}
+	r.attempts = append(r.attempts, a)
+	e := b.engines[s.Engine]
+	until := r.deadline
+	if s.Timeout > 0 {
+		until = min(until, now+s.Timeout)
+	}
+	if r.over || until <= now || e == nil || e.State != control.Ready {
+		// Guards against a send that the module decided before it could know: nothing has left.
+		b.end(now, a, control.Attempt{Status: control.Moot})
+		return
+	}
+	b.do(Want{Attempt: a.id, Engine: e.ID, Addr: e.Addr, Ref: r.Ref, Class: r.Class, Idem: r.Idem,
+		Patience: until - now, GrantMB: r.grantMB, Priority: r.priority, Body: r.Body})
+	b.after(until, func(time.Duration) { b.giveUp(a, control.TimedOut) })
+}
+
+func (b *Broker) terms(r *request, t control.Terms) {
+	changed := t.Priority != r.priority
+	r.grantMB, r.priority = t.GrantMB, t.Priority
+	for _, a := range r.attempts {
+		if changed && a.out && a.served == nil && a.ending == control.OK {
+			b.do(Hurry{a.id, t.Priority})
+		}
+	}
+}
+
+// giveUp calls an attempt off. It stays out until its engine can have been told, as only then may the next
+// request of its key go.
+func (b *Broker) giveUp(a *attempt, how control.Status) {
+	if !a.out || a.ending != control.OK {
+		return
+	}
+	a.ending = how
+	b.do(GiveUp{a.id})
+}
+
+func (b *Broker) attempt(id Attempt) *attempt {
+	r := b.requests[id.Request]
+	if r == nil || id.Number >= len(r.attempts) || !r.attempts[id.Number].out {
+		return nil
+	}
+	return r.attempts[id.Number]
+}
+
+// end tells the module of an attempt's end.
+func (b *Broker) end(now time.Duration, a *attempt, ev control.Attempt) {
+	a.out = false
+	a.pages = nil
+	ev.Query, ev.Number, ev.Engine = a.r.name, a.id.Number, a.engine
+	ev.Took, ev.Closed = now-a.sent, a.r.over
+	b.tell(ev)
+	b.forget(a.r)
+}
+
+func (b *Broker) ended(now time.Duration, ev Ended) {
+	a := b.attempt(ev.Attempt)
+	if a == nil {
+		return
+	}
+	status := ev.Status
+	if status == control.Cancelled && a.ending != control.OK {
+		status = a.ending
+	}
+	if a.served != nil && status != control.Cancelled && status != control.TimedOut {
+		// Guards against a BUSY or VOID for a page, which would pass as proof that nothing ran.
+		status = control.Failed
+	}
+	b.end(now, a, control.Attempt{Status: status, Report: ev.Report})
+}
+
+// served takes a good end at the engine. It counts only once every page is in, so that an engine that dies
+// between pages costs another attempt and not a broken answer.
+func (b *Broker) served(now time.Duration, ev Served) {
+	a := b.attempt(ev.Attempt)
+	if a == nil || a.ending != control.OK || a.served != nil {
+		return
+	}
+	if ev.Pages < 1 || ev.Pages > MostResult || !whole(ev.Body) {
+		b.broken(now, a, "a result that can't be read", true)
+		return
+	}
+	a.served, a.pages, a.missing, a.size = &ev, make([][]byte, ev.Pages), ev.Pages-1, len(ev.Body)
+	a.pages[0] = ev.Body
+	if a.missing == 0 {
+		b.complete(now, a)
+		return
+	}
+	for n := 1; n < ev.Pages; n++ {
+		b.do(Turn{a.id, n})
+	}
+	b.awaitPages(now, a)
+}
+
+// awaitPages gives an attempt up whose engine falls silent between pages.
+func (b *Broker) awaitPages(now time.Duration, a *attempt) {
+	missing := a.missing
+	b.after(now+pageTimeout, func(now time.Duration) {
+		if a.out && a.missing == missing && a.ending == control.OK {
+			b.broken(now, a, "a page that did not come", true)
+		} else if a.out && a.ending == control.OK {
+			b.awaitPages(now, a)
+		}
+	})
+}
+
+func (b *Broker) page(now time.Duration, ev Page) {
+	a := b.attempt(ev.Attempt)
+	if a == nil || a.ending != control.OK || a.served == nil {
+		return
+	}
+	a.size += len(ev.Body)
+	if ev.Number < 1 || ev.Number >= len(a.pages) || a.pages[ev.Number] != nil || !whole(ev.Body) || a.size > MostResult {
+		b.broken(now, a, "a page that can't be read", true)
+		return
+	}
+	a.pages[ev.Number] = ev.Body
+	if a.missing--; a.missing == 0 {
+		b.complete(now, a)
+	}
+}
+
+// whole tells whether a page holds whole rows.
+func whole(page []byte) bool {
+	for len(page) > 0 {
+		row, rest, ok := bytes.Cut(page, []byte{'\n'})
+		if !ok || bytes.Count(row, []byte{'\t'}) != columns-1 {
+			return false
+		}
+		page = rest
+	}
+	return true
+}
+
+// broken ends an attempt whose result can't be had whole.
+func (b *Broker) broken(now time.Duration, a *attempt, why string, shut bool) {
+	b.do(Note{"engine " + a.engine + " gave " + why})
+	b.do(Forget{a.id, shut})
+	b.end(now, a, control.Attempt{Status: control.Failed})
+}
+
+func (b *Broker) complete(now time.Duration, a *attempt) {
+	b.do(Forget{Attempt: a.id})
+	pages := a.pages
+	b.answer(now, a.r, Reply{Kind: Result, Pages: pages})
+	b.end(now, a, control.Attempt{Status: control.OK, Work: a.served.Work, MemoryMB: a.served.MemoryMB,
+		Report: a.served.Report})
+}
+
+func (b *Broker) probe(now time.Duration, id string) {
+	e := b.engines[id]
+	if e == nil || e.State == control.Gone {
+		b.tell(control.ProbeResult{Engine: id, Status: control.ConnectFailed})
+		return
+	}
+	b.ordinal++
+	tag := b.ordinal
+	b.probes[tag] = probe{engine: id, sent: now}
+	b.do(Probe{Tag: tag, Engine: id, Addr: e.Addr})
+	b.after(now+probeTimeout, func(now time.Duration) { b.probed(now, Probed{Tag: tag, Status: control.TimedOut}) })
+}
+
+func (b *Broker) probed(now time.Duration, ev Probed) {
+	p, ok := b.probes[ev.Tag]
+	if !ok {
+		return
+	}
+	delete(b.probes, ev.Tag)
+	b.tell(control.ProbeResult{Engine: p.engine, Status: ev.Status, Took: now - p.sent, Report: ev.Report})
+}
+
+// changes follows the change log. What was taken before is passed over, so a page may come twice.
+func (b *Broker) changes(p changelog.Page) {
+	for _, c := range p.Changes {
+		if c.Seq <= b.seq {
+			continue
+		}
+		list := control.List{Kind: control.Delta}
+		if c.Whole {
+			list.Kind = control.Whole
+			named := map[string]bool{}
+			for _, h := range c.Hosts {
+				named[h.ID] = true
+			}
+			for _, id := range b.hosts() {
+				if !named[id] {
+					b.do(DropEngine{id})
+					delete(b.engines, id)
+				}
+			}
+		}
+		for _, h := range c.Hosts {
+			b.host(h)
+			list.Engines = append(list.Engines, h.Engine)
+		}
+		b.tell(list)
+	}
+	b.seq = max(b.seq, p.Seq)
+	b.ready = 0
+	for _, e := range b.engines {
+		if e.State == control.Ready {
+			b.ready++
+		}
+	}
+}
+
+func (b *Broker) host(h changelog.Host) {
+	for _, id := range b.hosts() {
+		// Guards against answers of an engine that is gone being taken for those of the one that has its
+		// address now, and against work that goes to the wrong one.
+		if o := b.engines[id]; id != h.ID && o.Addr == h.Addr && h.State != control.Gone {
+			b.do(DropEngine{id})
+		}
+	}
+	old := b.engines[h.ID]
+	switch {
+	case h.State == control.Gone, old != nil && (old.Addr != h.Addr || h.StartedAt > old.StartedAt):
+		b.do(DropEngine{h.ID})
+	case h.State == control.Draining:
+		b.do(DropUnsent{h.ID})
+	}
+	if h.State == control.Gone {
+		delete(b.engines, h.ID)
+	} else {
+		b.engines[h.ID] = &engine{h}
+	}
+}
+
+// hosts are the engines in a fixed order.
+func (b *Broker) hosts() []string {
+	ids := make([]string, 0, len(b.engines))
+	for id := range b.engines {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// stop answers, shortly before the broker must end, what it could not finish: a broken connection would
+// leave its client to find out.
+func (b *Broker) stop(now, within time.Duration) {
+	b.stopped = true
+	b.after(now+within, func(now time.Duration) {
+		ids := make([]uint64, 0, len(b.requests))
+		for id := range b.requests {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		for _, id := range ids {
+			if r := b.requests[id]; r != nil && !r.over {
+				b.tell(control.ClientGone{Query: r.name})
+				b.answer(now, r, Reply{Kind: Failed, Text: "the broker is stopping"})
+			}
+		}
+	})
+}
+
+// timers is a heap by time, and by order of setting within one time.
+type timers []timer
+
+type timer struct {
+	at    time.Duration
+	order uint64
+	fire  func(now time.Duration)
+}
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].order < t[j].order
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = timer{}
+	*t = (*t)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/node/client.go
@@ -0,0 +1,293 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"wheatlane/internal/broker"
+	"wheatlane/internal/mysql"
+	"wheatlane/internal/ring"
+)
+
+const (
+	user, database = "app", "main"
+
+	clientIn     = 2 * (mysql.MostPacket + mysql.HeaderLen) // a whole packet and what came behind it
+	clientOut    = 256 << 10                                // several whole results
+	loginTimeout = 5 * time.Second
+	clientIdle   = time.Minute // beyond the longest deadline; clients close sooner
+	lingerTime   = 200 * time.Millisecond
+	lingerBytes  = 1 << 20
+	acceptPause  = 10 * time.Millisecond // after a failed accept
+	clientShare  = 2                     // clients get the limit of sockets over this at the most
+)
+
+// client is a client's connection.
+type client struct {
+	n    *Node
+	id   broker.Session
+	link *link
+}
+
+// accept takes connections as they come.
+func (n *Node) accept(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { n.ln.Close() })
+	defer stop()
+	most := int32(n.cfg.Sockets / clientShare)
+	for {
+		nc, err := n.ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return ctx.Err()
+			}
+			n.log.Sugar().Warnw("accept failed", "error", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		began := time.Now()
+		peer := nc.RemoteAddr().String()
+		if n.connected.Load() >= most { // a cap reached is a refusal
+			n.group.Go(func() error {
+				l := newLink(nc, clientIn, clientOut)
+				l.write(mysql.AppendError(nil, 0, mysql.CodeConnections, "too many connections"))
+				l.finish(&ended{Reason: TooMany})
+				n.ended("client", peer, began, l.run(ctx, func(ctx context.Context) error { return l.linger(ctx) }))
+				return nil
+			})
+			continue
+		}
+		n.connected.Add(1)
+		n.nextID++
+		c := &client{n: n, id: n.nextID, link: newLink(nc, clientIn, clientOut)}
+		n.group.Go(func() error {
+			defer n.connected.Add(-1)
+			n.post(ctx, func() { n.clients[c.id] = c })
+			n.ended("client", peer, began, c.link.run(ctx, c.read))
+			n.post(ctx, func() {
+				delete(n.clients, c.id)
+				n.apply(broker.SessionClosed{Session: c.id})
+			})
+			return nil
+		})
+	}
+}
+
+// read greets a client, logs it in and hands on what it asks.
+func (c *client) read(ctx context.Context) error {
+	if err := c.greet(); err != nil {
+		return err
+	}
+	l := c.link
+	if err := l.nc.SetReadDeadline(time.Now().Add(loginTimeout)); err != nil {
+		return err
+	}
+	loggedIn := false
+	idle := c.n.cfg.Settings.LongestGiveUp + clientIdle
+	for {
+		_, err := l.in.ReadOnce(l.nc)
+		if err != nil {
+			if !loggedIn && isTimeout(err) {
+				return &ended{LoginTimeout, err}
+			}
+			return err
+		}
+		sent := now() - sinceReceived(l.nc)
+		for {
+			seq, payload, size, err := mysql.ParsePacket(l.in.Bytes())
+			if err != nil {
+				return c.broken(ctx, 1, mysql.CodeTooLarge, err)
+			}
+			if size == 0 {
+				break
+			}
+			if loggedIn {
+				err = c.command(ctx, seq, payload, sent)
+			} else if err = c.login(ctx, seq, payload); err == nil {
+				loggedIn = true
+			}
+			l.in.Discard(size)
+			if err != nil {
+				return err
+			}
+		}
+		if loggedIn {
+			if err := l.nc.SetReadDeadline(time.Now().Add(idle)); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (c *client) greet() error {
+	var salt [20]byte
+	if _, err := rand.Read(salt[:]); err != nil {
+		return fmt.Errorf("salt: %w", err)
+	}
+	for i := range salt {
+		salt[i] = salt[i]%94 + 33 // printable
+	}
+	_, err := c.link.write(mysql.AppendGreeting(nil, uint32(c.id), salt))
+	return err
+}
+
+// login checks the answer to the greeting.
+func (c *client) login(ctx context.Context, seq byte, payload []byte) error {
+	if seq != 1 {
+		return c.broken(ctx, seq+1, mysql.CodeSequence, mysql.ErrSequence)
+	}
+	l, err := mysql.ParseLogin(payload)
+	switch {
+	case err != nil:
+		return c.broken(ctx, seq+1, mysql.CodeHandshake, err)
+	case l.User != user || l.Password:
+		return c.broken(ctx, seq+1, mysql.CodeAccessDenied, &ended{Denied, fmt.Errorf("access denied for user %.40q", l.User)})
+	case l.Database != "" && l.Database != database:
+		return c.broken(ctx, seq+1, mysql.CodeUnknownDB, &ended{Denied, fmt.Errorf("unknown database %.40q", l.Database)})
+	}
+	_, err = c.link.write(mysql.AppendOK(nil, seq+1))
+	return err
+}
+
+// broken answers what can't be read, after which nothing can, and ends the connection.
+func (c *client) broken(ctx context.Context, seq byte, code int, err error) error {
+	if _, full := c.link.write(mysql.AppendError(nil, seq, code, err.Error())); full != nil {
+		return full
+	}
+	left := make(chan struct{})
+	c.link.then(func() { close(left) })
+	select {
+	case <-left:
+	case <-ctx.Done():
+		return err
+	}
+	if linger := c.link.linger(ctx); linger != nil && !isTimeout(linger) {
+		return errors.Join(err, linger)
+	}
+	return err
+}
+
+// linger lets the other side read the last words: closing with bytes unread would reset the connection and
+// could destroy them on their way.
+func (l *link) linger(context.Context) error {
+	if err := l.nc.SetReadDeadline(time.Now().Add(lingerTime)); err != nil {
+		return err
+	}
+	_, err := io.CopyN(io.Discard, l.nc, lingerBytes)
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// command hands on one command. Its answer comes in its turn.
+func (c *client) command(ctx context.Context, seq byte, payload []byte, sent time.Duration) error {
+	if seq != 0 {
+		return c.broken(ctx, seq+1, mysql.CodeSequence, mysql.ErrSequence)
+	}
+	if len(payload) == 0 {
+		return c.broken(ctx, 1, mysql.CodeMalformed, mysql.ErrMalformed)
+	}
+	var ev broker.Event
+	text := string(payload[1:])
+	switch mysql.Command(payload[0]) {
+	case mysql.Quit:
+		return &ended{Reason: Quit}
+	case mysql.Ping:
+		ev = broker.Ping{Session: c.id}
+	case mysql.Query:
+		ev = c.query(text, sent)
+	case mysql.Reset:
+		ev = c.answer(broker.Done, "")
+	case mysql.InitDB:
+		if ev = c.answer(broker.Done, ""); text != database {
+			ev = c.answer(broker.NoDatabase, fmt.Sprintf("unknown database %.40q", text))
+		}
+	default:
+		ev = c.answer(broker.BadCommand, fmt.Sprintf("unknown command %d", payload[0]))
+	}
+	c.n.post(ctx, func() { c.n.apply(ev) })
+	return nil
+}
+
+func (c *client) answer(kind broker.Kind, text string) broker.Event {
+	return broker.Bad{Session: c.id, Reply: broker.Reply{Kind: kind, Text: text}}
+}
+
+// query translates a statement.
+func (c *client) query(text string, sent time.Duration) broker.Event {
+	if id, connection, ok := mysql.ParseKill(text); ok {
+		return broker.Kill{By: c.id, Target: broker.Session(id), Connection: connection}
+	}
+	s, err := mysql.ParseStatement(text)
+	if err != nil {
+		return c.answer(broker.BadFields, err.Error())
+	}
+	return broker.Submit{Session: c.id, Request: broker.Request{Ref: s.Ref, Class: s.Service, Tenant: s.Project,
+		Idem: s.Replay, Order: s.Lookup, Group: s.Group, Work: time.Duration(s.EffortMS * float64(time.Millisecond)),
+		MemoryMB: s.RAMMB, Sent: sent, Allow: time.Duration(s.AllowMS) * time.Millisecond, Body: s.Text}}
+}
+
+// sinceReceived is how long ago the kernel took the last bytes in: a client's wait begins when it sent them,
+// not when a busy broker comes to read them.
+func sinceReceived(nc net.Conn) time.Duration {
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		return 0
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var since time.Duration
+	if err := raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	}); err != nil {
+		return 0
+	}
+	return since
+}
+
+var codes = map[broker.Kind]int{broker.Refused: mysql.CodeUserLimit, broker.Failed: mysql.CodeUnknown,
+	broker.Interrupted: mysql.CodeInterrupted, broker.NotReady: mysql.CodeShutdown,
+	broker.BadFields: mysql.CodeArguments, broker.BadCommand: mysql.CodeCommand,
+	broker.NoSession: mysql.CodeNoThread, broker.NoDatabase: mysql.CodeUnknownDB}
+
+// reply writes an answer to its client, if that is still there.
+func (n *Node) reply(r broker.Reply) {
+	c := n.clients[r.Session]
+	if c == nil {
+		return
+	}
+	n.scratch = appendReply(n.scratch[:0], r)
+	if _, err := c.link.write(n.scratch); errors.Is(err, ring.ErrFull) {
+		c.link.finish(&ended{Reason: BufferFull})
+	}
+}
+
+func appendReply(dst []byte, r broker.Reply) []byte {
+	switch r.Kind {
+	case broker.Result:
+		return mysql.AppendResult(dst, 1, r.Pages)
+	case broker.Done:
+		return mysql.AppendOK(dst, 1)
+	}
+	text := r.Text
+	if ms := r.Cooldown.Milliseconds(); ms > 0 {
+		text = fmt.Sprintf("%s; cooldown=%d", text, ms)
+	}
+	return mysql.AppendError(dst, 1, codes[r.Kind], text)
+}
--- /dev/null
+++ b/internal/node/link.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wheatlane/internal/ring"
+)
+
+const (
+	// writeTimeout bounds one write; what can't be written by then has no use any more.
+	writeTimeout = 250 * time.Millisecond
+	// mostWaiting bounds how long bytes may wait in the buffer before they leave. It guards the rule on drains:
+	// a send that the module decided on before it was told must not leave after the grace.
+	mostWaiting = 300 * time.Millisecond
+)
+
+// link is a connection with its two ring buffers and the goroutine that writes.
+type link struct {
+	nc net.Conn
+	in *ring.Buffer // of the goroutine that reads
+
+	mu        sync.Mutex
+	out       *ring.Buffer
+	put, sent int64     // bytes put into out and handed to the kernel since the start
+	since     time.Time // the oldest byte in out came no earlier
+	marks     []mark
+	closing   *ended // end so once out is empty
+	kick      chan struct{}
+}
+
+// mark is something to do once the bytes before it have left.
+type mark struct {
+	at int64
+	do func()
+}
+
+func newLink(nc net.Conn, mostIn, mostOut int) *link {
+	return &link{nc: nc, in: ring.New(mostIn), out: ring.New(mostOut), kick: make(chan struct{}, 1)}
+}
+
+// write puts p into the buffer and returns the offset of its first byte. It never blocks.
+func (l *link) write(p []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.out.Len() == 0 {
+		l.since = time.Now()
+	}
+	if _, err := l.out.Write(p); err != nil {
+		return 0, err
+	}
+	at := l.put
+	l.put += int64(len(p))
+	l.wake()
+	return at, nil
+}
+
+// then calls do, on the goroutine that writes, once all that was put so far has left.
+func (l *link) then(do func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.marks = append(l.marks, mark{l.put, do})
+	l.wake()
+}
+
+// finish ends the link once all that was put so far has left.
+func (l *link) finish(why *ended) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closing == nil {
+		l.closing = why
+	}
+	l.wake()
+}
+
+func (l *link) wake() {
+	select {
+	case l.kick <- struct{}{}:
+	default:
+	}
+}
+
+// left is the number of bytes handed to the kernel.
+func (l *link) left() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent
+}
+
+// empty tells whether all that was put has left.
+func (l *link) empty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.out.Len() == 0
+}
+
+// run reads and writes until either ends, and returns why. The socket is closed then.
+func (l *link) run(ctx context.Context, read func(context.Context) error) error {
+	g, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { l.nc.Close() })
+	defer stop()
+	g.Go(func() error {
+		err := read(ctx)
+		if err == nil {
+			err = &ended{Reason: PeerClosed}
+		}
+		return err
+	})
+	g.Go(func() error { return l.drain(ctx) })
+	err := g.Wait()
+	l.nc.Close()
+	return err
+}
+
+// drain writes what is put, until the link ends.
+func (l *link) drain(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-l.kick:
+		}
+		for {
+			l.mu.Lock()
+			one, two := l.out.Segments()
+			since, closing := l.since, l.closing
+			l.mu.Unlock()
+			now := time.Now()
+			if len(one) > 0 {
+				if now.Sub(since) > mostWaiting {
+					return &ended{Reason: WriteTimeout}
+				}
+				if err := l.nc.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+					return err
+				}
+			}
+			n, err := l.nc.Write(one)
+			if err == nil && len(two) > 0 {
+				var more int
+				more, err = l.nc.Write(two)
+				n += more
+			}
+			for _, m := range l.wrote(n, now) {
+				m.do()
+			}
+			if err != nil {
+				if e, ok := err.(net.Error); ok && e.Timeout() {
+					return &ended{WriteTimeout, err}
+				}
+				return err
+			}
+			if len(one) == 0 {
+				if closing != nil {
+					return closing
+				}
+				break
+			}
+		}
+	}
+}
+
+// wrote takes the count of bytes that left in a write that began at a time, and returns what they held up.
+func (l *link) wrote(n int, began time.Time) []mark {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if n > 0 {
+		l.out.Discard(n)
+		l.sent += int64(n)
+		l.since = began
+	}
+	i := 0
+	for i < len(l.marks) && l.marks[i].at <= l.sent {
+		i++
+	}
+	due := l.marks[:i:i]
+	l.marks = l.marks[i:]
+	return due
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,219 @@
+// Package node is the broker on real sockets: it turns what clients, engines and the change log send into
+// events for the reducer and carries out the effects that come back. One goroutine owns the reducer and all
+// that this package remembers; each connection has one that reads and one that writes, and those only post
+// to it. Every goroutine ends with its context.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"wheatlane/internal/broker"
+	"wheatlane/internal/config"
+)
+
+const (
+	inboxSize  = 256                    // what may wait for the reducer; more makes readers wait
+	mostAtOnce = 512                    // things taken from the inbox before a round
+	sweepEvery = time.Second            // idle connections are looked for so often
+	stopWindow = time.Second            // requests go on coming after SIGTERM; the protocol says up to 0.4 s
+	stopCap    = 3 * time.Second        // protocol: longer deadlines count as this until SIGKILL
+	stopExtra  = 700 * time.Millisecond // protocol: and so much more
+	stopMargin = 250 * time.Millisecond // ours: what is left is answered so long before SIGKILL
+	flushWait  = 200 * time.Millisecond // last answers get so long to leave
+)
+
+// Node is a running broker.
+type Node struct {
+	cfg   config.Config
+	log   *zap.Logger
+	b     *broker.Broker
+	inbox chan func()
+	ctx   context.Context // of Run
+	group *errgroup.Group
+	ln    net.Listener
+
+	backlog   []broker.Event // events that effects gave
+	clients   map[broker.Session]*client
+	nextID    broker.Session
+	connected atomic.Int32 // clients
+	pool      pool
+	sweptAt   time.Time
+	stopAt    time.Time // when SIGTERM came
+	scratch   []byte
+}
+
+// New returns a broker that listens already, so that no client is turned away while it starts.
+func New(ctx context.Context, cfg config.Config, log *zap.Logger) (*Node, error) {
+	b, err := broker.New(cfg.Settings.Control, cfg.Seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	n := &Node{cfg: cfg, log: log, b: b, inbox: make(chan func(), inboxSize), ln: ln,
+		clients: map[broker.Session]*client{}, nextID: broker.Session(cfg.Seed)}
+	n.pool = newPool(n)
+	return n, nil
+}
+
+// Addr is where clients connect.
+func (n *Node) Addr() net.Addr { return n.ln.Addr() }
+
+func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+// Run serves until ctx ends or, after a value on stop, until all that was taken is answered.
+func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.group, ctx = errgroup.WithContext(ctx)
+	n.ctx = ctx
+	n.group.Go(func() error { return n.accept(ctx) })
+	n.group.Go(func() error { return n.follow(ctx, n.cfg.Known.Seq) })
+	n.group.Go(func() error {
+		defer cancel()
+		return n.loop(ctx, stop)
+	})
+	err := n.group.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// post hands f to the goroutine that owns the reducer. It waits while that is behind.
+func (n *Node) post(ctx context.Context, f func()) {
+	select {
+	case n.inbox <- f:
+	case <-ctx.Done():
+	}
+}
+
+// loop owns the reducer.
+func (n *Node) loop(ctx context.Context, stop <-chan struct{}) error {
+	defer n.ln.Close()
+	n.apply(broker.Changes{Page: n.cfg.Known})
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-stop:
+			stop = nil
+			n.stop()
+		case f := <-n.inbox:
+			f()
+			for range min(len(n.inbox), mostAtOnce) {
+				(<-n.inbox)()
+			}
+		case <-timer.C:
+		}
+		n.settle()
+		n.carryOut(n.b.Tick(now()))
+		n.settle()
+		if time.Since(n.sweptAt) > sweepEvery {
+			n.sweptAt = time.Now()
+			n.pool.sweep()
+		}
+		if n.finished() {
+			return nil
+		}
+		wait := sweepEvery
+		if at, ok := n.b.Next(); ok {
+			wait = min(wait, at-now())
+		}
+		timer.Reset(max(wait, 0))
+	}
+}
+
+func (n *Node) apply(ev broker.Event) {
+	n.carryOut(n.b.Apply(now(), ev))
+	n.settle()
+}
+
+// settle applies the events that effects gave.
+func (n *Node) settle() {
+	for len(n.backlog) > 0 {
+		ev := n.backlog[0]
+		n.backlog = n.backlog[1:]
+		n.carryOut(n.b.Apply(now(), ev))
+	}
+}
+
+// later keeps an event that came of carrying out an effect until the other effects are carried out.
+func (n *Node) later(ev broker.Event) { n.backlog = append(n.backlog, ev) }
+
+func (n *Node) carryOut(effects []broker.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case broker.Reply:
+			n.reply(e)
+		case broker.CloseSession:
+			if c := n.clients[e.Session]; c != nil {
+				c.link.finish(&ended{Reason: Killed})
+			}
+		case broker.Want:
+			n.pool.want(e)
+		case broker.Turn:
+			n.pool.turn(e)
+		case broker.GiveUp:
+			n.pool.giveUp(e.Attempt)
+		case broker.Forget:
+			n.pool.forget(e)
+		case broker.Hurry:
+			n.pool.hurry(e)
+		case broker.Probe:
+			n.pool.probe(e)
+		case broker.DropUnsent:
+			n.pool.dropUnsent(e.Engine)
+		case broker.DropEngine:
+			n.pool.drop(e.Engine)
+		case broker.Note:
+			n.log.Info("note", zap.String("text", e.Text))
+		}
+	}
+}
+
+// stop begins a planned restart.
+func (n *Node) stop() {
+	n.stopAt = time.Now()
+	within := min(n.cfg.Settings.LongestGiveUp, stopCap) + stopExtra - stopMargin
+	n.log.Info("stopping", zap.Int("open", n.b.Open()), zap.Duration("within", within))
+	n.apply(broker.Stop{Within: within})
+}
+
+// finished tells whether a stopping broker has answered all that it took and its last words have left.
+func (n *Node) finished() bool {
+	if n.stopAt.IsZero() || time.Since(n.stopAt) < stopWindow || n.b.Open() > 0 {
+		return false
+	}
+	if time.Since(n.stopAt) < stopCap+stopExtra-stopMargin+flushWait {
+		for _, c := range n.clients {
+			if !c.link.empty() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// ended writes the one log line of a connection.
+func (n *Node) ended(side, peer string, began time.Time, err error) {
+	reason := reasonOf(err)
+	fields := []zap.Field{zap.String("side", side), zap.String("peer", peer), zap.String("reason", string(reason)),
+		zap.Duration("lasted", time.Since(began))}
+	if reason == Failed || reason == Malformed || reason == HTTPStatus || reason == ConnectFailed {
+		fields = append(fields, zap.Error(err))
+	}
+	n.log.Info("connection ended", fields...)
+}
--- /dev/null
+++ b/internal/node/pool.go
@@ -0,0 +1,438 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"wheatlane/control"
+	"wheatlane/internal/broker"
+	"wheatlane/internal/resp"
+)
+
+const (
+	engineIn     = resp.MostMessage
+	engineOut    = 1 << 20
+	engineShare  = 4    // connections to engines get the limit of sockets over this at the most
+	perEngine    = 8    // connections to one engine
+	mostGivenUp  = 1024 // ids given up on one connection before it is replaced
+	idlePart     = 0.6  // of the engines' limit on idle time: ours close first
+	silentFor    = time.Second
+	oldestProbe  = time.Second
+	probeMark    = "p" // ahead of a probe's tag; ids of requests are hex digits
+	standardRank = 1   // the priority that an engine takes when none is named
+)
+
+// pool holds the connections to engines and what is out on them. The goroutine of the reducer owns it.
+type pool struct {
+	n     *Node
+	conns map[string][]*upstream // by engine
+	count int
+	out   map[broker.Attempt]*stream
+}
+
+// upstream is a connection to an engine, or one that is coming up.
+type upstream struct {
+	engine, addr string
+	link         *link // nil while it comes up
+	cancel       context.CancelFunc
+	why          *ended             // why it was closed from here
+	streams      map[string]*stream // by id on the wire
+	givenUp      map[string]bool    // ids that may still be answered
+	retired      bool               // takes nothing new
+	gone         bool
+	used, heard  time.Time
+}
+
+// stream is an attempt or a probe on its connection.
+type stream struct {
+	c       *upstream
+	id      string
+	attempt broker.Attempt
+	tag     uint64 // of a probe; 0 for an attempt
+	message []byte // what waits for the connection
+	start   int64  // offset of its first byte
+	at      time.Time
+	served  bool // its pages are being read
+	ending  bool // it was given up, and the engine is being told
+	done    bool
+}
+
+func newPool(n *Node) pool {
+	return pool{n: n, conns: map[string][]*upstream{}, out: map[broker.Attempt]*stream{}}
+}
+
+// want sends an attempt.
+func (p *pool) want(w broker.Want) {
+	fields := fmt.Appendf(nil, "sort=%s,patience=%d", w.Class, max(1, w.Patience.Milliseconds()))
+	if w.Idem != "" {
+		fields = append(append(fields, ",op="...), w.Idem...)
+	}
+	if w.GrantMB > 0 {
+		fields = strconv.AppendFloat(append(fields, ",allot="...), w.GrantMB, 'f', -1, 64)
+	}
+	if w.Priority != standardRank {
+		fields = strconv.AppendInt(append(fields, ",urgency="...), int64(w.Priority), 10)
+	}
+	s := &stream{id: w.Ref, attempt: w.Attempt, message: resp.Append(nil, "want", w.Ref, string(fields), w.Body)}
+	p.out[w.Attempt] = s
+	p.start(w.Engine, w.Addr, s)
+}
+
+// probe asks an engine for its load.
+func (p *pool) probe(e broker.Probe) {
+	id := probeMark + strconv.FormatUint(e.Tag, 10)
+	p.start(e.Engine, e.Addr, &stream{id: id, tag: e.Tag, message: resp.Append(nil, "busy", id)})
+}
+
+// start puts a stream on a connection with room, on a new one, or ends it where there can be none.
+func (p *pool) start(engine, addr string, s *stream) {
+	s.at = time.Now()
+	var c *upstream
+	for _, o := range p.conns[engine] {
+		// An id may be on a connection once only: an answer for the attempt before could not be told apart.
+		if o.retired || o.addr != addr || len(o.streams) >= p.n.cfg.Settings.MaxStreams || o.givenUp[s.id] || o.streams[s.id] != nil {
+			continue
+		}
+		if c = o; c.link != nil {
+			break
+		}
+	}
+	if c == nil {
+		if len(p.conns[engine]) >= perEngine || p.count >= p.n.cfg.Sockets/engineShare {
+			p.end(s, control.ConnectFailed)
+			return
+		}
+		c = p.dial(engine, addr)
+	}
+	s.c = c
+	c.streams[s.id] = s
+	c.used = s.at
+	if c.link != nil {
+		p.send(s)
+	}
+}
+
+// send hands a stream's message to its connection.
+func (p *pool) send(s *stream) {
+	at, err := s.c.link.write(s.message)
+	s.start, s.message = at, nil
+	if err != nil {
+		p.remove(s)
+		p.end(s, control.ConnectFailed)
+		p.close(s.c, BufferFull)
+	}
+}
+
+// say sends a command that nothing answers, or whose answer belongs to a stream.
+func (p *pool) say(c *upstream, parts ...string) {
+	if _, err := c.link.write(resp.Append(nil, parts...)); err != nil {
+		p.close(c, BufferFull)
+	}
+}
+
+// dial brings up a connection and reads it until it ends.
+func (p *pool) dial(engine, addr string) *upstream {
+	n := p.n
+	ctx, cancel := context.WithCancel(n.ctx)
+	c := &upstream{engine: engine, addr: addr, cancel: cancel, streams: map[string]*stream{}, givenUp: map[string]bool{}}
+	p.conns[engine] = append(p.conns[engine], c)
+	p.count++
+	n.group.Go(func() error {
+		defer cancel()
+		began := time.Now()
+		nc, err := (&net.Dialer{Timeout: n.cfg.Settings.ConnectTimeout}).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			err = &ended{ConnectFailed, err}
+		} else {
+			l := newLink(nc, engineIn, engineOut)
+			n.post(ctx, func() { p.up(c, l) })
+			err = l.run(ctx, func(ctx context.Context) error { return p.read(ctx, c, l) })
+		}
+		n.post(n.ctx, func() { p.down(c) })
+		if ctx.Err() != nil && n.ctx.Err() == nil {
+			err = c.why // set before the context ended
+		}
+		n.ended("engine", addr, began, err)
+		return nil
+	})
+	return c
+}
+
+// up sends what waited for a connection.
+func (p *pool) up(c *upstream, l *link) {
+	if c.gone {
+		return
+	}
+	c.link, c.heard = l, time.Now()
+	waiting := make([]*stream, 0, len(c.streams))
+	for _, s := range c.streams {
+		waiting = append(waiting, s)
+	}
+	slices.SortFunc(waiting, func(a, b *stream) int { return a.at.Compare(b.at) })
+	for _, s := range waiting {
+		if !s.done {
+			p.send(s)
+		}
+	}
+}
+
+// close ends a connection from this side. What is out on it ends at once, so that no answer on its way can
+// be taken for another's.
+func (p *pool) close(c *upstream, why Reason) {
+	if c.gone {
+		return
+	}
+	c.why = &ended{Reason: why}
+	c.cancel()
+	p.down(c)
+}
+
+// down ends all that was out on a connection that is no more.
+func (p *pool) down(c *upstream) {
+	if c.gone {
+		return
+	}
+	c.gone = true
+	p.count--
+	p.conns[c.engine] = slices.DeleteFunc(p.conns[c.engine], func(o *upstream) bool { return o == c })
+	if len(p.conns[c.engine]) == 0 {
+		delete(p.conns, c.engine)
+	}
+	left := int64(-1)
+	if c.link != nil {
+		left = c.link.left()
+	}
+	for _, s := range c.streams {
+		switch {
+		case s.ending: // the end of its connection tells the engine as well
+			p.end(s, control.Cancelled)
+		case s.start >= left || s.message != nil: // not one byte left: it never ran
+			p.end(s, control.ConnectFailed)
+		default:
+			p.end(s, control.Reset)
+		}
+	}
+	clear(c.streams)
+}
+
+// remove takes a stream off its connection.
+func (p *pool) remove(s *stream) {
+	delete(s.c.streams, s.id)
+	if s.c.retired && len(s.c.streams) == 0 {
+		p.close(s.c, Retired)
+	}
+}
+
+// end tells the reducer how a stream ended.
+func (p *pool) end(s *stream, status control.Status) {
+	if s.done {
+		return
+	}
+	s.done = true
+	if s.tag != 0 {
+		p.n.later(broker.Probed{Tag: s.tag, Status: status})
+		return
+	}
+	delete(p.out, s.attempt)
+	p.n.later(broker.Ended{Attempt: s.attempt, Status: status})
+}
+
+// giveUp calls an attempt off. It ends once the engine's connection has taken the word.
+func (p *pool) giveUp(a broker.Attempt) {
+	s := p.out[a]
+	if s == nil || s.ending {
+		return
+	}
+	c := s.c
+	if c.link == nil { // nothing left yet
+		p.remove(s)
+		p.end(s, control.Moot)
+		return
+	}
+	s.ending = true
+	word := "never_mind"
+	if s.served {
+		word = "shut"
+	}
+	p.say(c, word, s.id)
+	if c.gone {
+		return
+	}
+	p.doubt(c, s)
+	c.link.then(func() {
+		p.n.post(p.n.ctx, func() {
+			if !s.done {
+				p.disown(s)
+				p.end(s, control.Cancelled)
+			}
+		})
+	})
+}
+
+// disown takes a stream off its connection whose answer may still come.
+func (p *pool) disown(s *stream) {
+	c := s.c
+	c.givenUp[s.id] = true
+	c.retired = c.retired || len(c.givenUp) >= mostGivenUp
+	p.remove(s)
+}
+
+// doubt retires a connection on which nothing came since an attempt that is given up was sent. Guards
+// against engines whose machine vanished: an old connection stays open and silent, a new one never comes up,
+// which proves that nothing ran.
+func (p *pool) doubt(c *upstream, s *stream) {
+	if time.Since(s.at) > silentFor && c.heard.Before(s.at) {
+		c.retired = true
+	}
+}
+
+func (p *pool) turn(e broker.Turn) {
+	if s := p.out[e.Attempt]; s != nil && s.c.link != nil {
+		p.say(s.c, "turn", s.id, strconv.Itoa(e.Page))
+	}
+}
+
+func (p *pool) hurry(e broker.Hurry) {
+	s := p.out[e.Attempt]
+	if s == nil || s.ending {
+		return
+	}
+	if s.c.link == nil { // it has not left: its message would have to be made anew
+		p.hurryUnsent(s, e.Priority)
+		return
+	}
+	p.say(s.c, "hurry", s.id, strconv.Itoa(e.Priority))
+}
+
+// hurryUnsent lets the word follow the message once the connection is up.
+func (p *pool) hurryUnsent(s *stream, priority int) {
+	s.message = resp.Append(s.message, "hurry", s.id, strconv.Itoa(priority))
+}
+
+// forget lets go of an attempt that has ended well, or whose pages are not wanted.
+func (p *pool) forget(e broker.Forget) {
+	s := p.out[e.Attempt]
+	if s == nil {
+		return
+	}
+	s.done = true
+	delete(p.out, e.Attempt)
+	if e.Shut {
+		p.say(s.c, "shut", s.id)
+		if !s.c.gone {
+			p.disown(s)
+		}
+		return
+	}
+	p.remove(s)
+}
+
+// dropUnsent ends what waits for a connection to an engine that drains: it must not leave later.
+func (p *pool) dropUnsent(engine string) {
+	for _, c := range slices.Clone(p.conns[engine]) {
+		if c.link == nil {
+			p.close(c, EngineGone)
+		}
+	}
+}
+
+// drop closes all connections to an engine.
+func (p *pool) drop(engine string) {
+	for _, c := range slices.Clone(p.conns[engine]) {
+		p.close(c, EngineGone)
+	}
+}
+
+// sweep closes what is idle before the engines would, and lets go of probes without answer.
+func (p *pool) sweep() {
+	now := time.Now()
+	limit := time.Duration(idlePart * float64(p.n.cfg.Settings.ConnIdle))
+	for _, conns := range p.conns {
+		for _, c := range slices.Clone(conns) {
+			for _, s := range c.streams {
+				if s.tag != 0 && c.link != nil && now.Sub(s.at) > oldestProbe {
+					s.done = true
+					p.disown(s)
+				}
+			}
+			if !c.gone && len(c.streams) == 0 && (c.retired || now.Sub(c.used) > limit) {
+				p.close(c, Idle)
+			}
+		}
+	}
+}
+
+// read hands on what an engine says.
+func (p *pool) read(ctx context.Context, c *upstream, l *link) error {
+	for {
+		if _, err := l.in.ReadOnce(l.nc); err != nil {
+			return err
+		}
+		var answers []resp.Answer
+		for {
+			parts, size, err := resp.Parse(l.in.Bytes())
+			if err != nil {
+				return err
+			}
+			if size == 0 {
+				break
+			}
+			a, err := resp.ParseAnswer(parts)
+			if err != nil {
+				return err
+			}
+			a.Body = bytes.Clone(a.Body)
+			answers = append(answers, a)
+			l.in.Discard(size)
+		}
+		if len(answers) > 0 {
+			p.n.post(ctx, func() {
+				c.heard = time.Now()
+				for _, a := range answers {
+					p.answer(c, a)
+				}
+			})
+		}
+	}
+}
+
+var proofs = map[resp.Word]control.Status{resp.Busy: control.Full, resp.Void: control.Moot, resp.Err: control.Failed}
+
+// answer hands on one answer of an engine; none is owed to what was given up.
+func (p *pool) answer(c *upstream, a resp.Answer) {
+	s := c.streams[a.ID]
+	if s == nil || s.done || s.ending {
+		return
+	}
+	report := resp.Report(a.Load, p.n.cfg.Settings.Control.ReportFields)
+	switch {
+	case s.tag != 0:
+		s.done = true
+		p.remove(s)
+		status := control.OK
+		if a.Word != resp.Up {
+			status = control.Failed
+		}
+		p.n.apply(broker.Probed{Tag: s.tag, Status: status, Report: report})
+	case a.Word == resp.OK:
+		s.served = true
+		p.n.apply(broker.Served{Attempt: s.attempt, Pages: a.Sheets, Work: time.Duration(a.WorkMS * float64(time.Millisecond)),
+			MemoryMB: a.RoomMB, Report: report, Body: a.Body})
+	case a.Word == resp.Rows:
+		p.n.apply(broker.Page{Attempt: s.attempt, Number: a.Sheet, Body: a.Body})
+	default:
+		status, ok := proofs[a.Word]
+		if !ok {
+			status = control.Failed
+		}
+		s.done = true
+		delete(p.out, s.attempt)
+		p.remove(s)
+		p.n.apply(broker.Ended{Attempt: s.attempt, Status: status, Report: report})
+	}
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"wheatlane/control"
+	"wheatlane/internal/config"
 )
 
 // Create asks for a new instance.
@@ -176,11 +177,11 @@
 func (r *Reader) event(name string, f *fields) (*Create, bool, control.Event, error) {
 	switch name {
 	case "CREATE":
-		s, err := settings(f.text("ProfileData"))
+		s, err := config.DecodeSettings([]byte(f.text("ProfileData")))
 		if err != nil {
-			return nil, false, nil, fmt.Errorf("CREATE: settings: %w", err)
+			return nil, false, nil, fmt.Errorf("CREATE: %w", err)
 		}
-		return &Create{Seed: f.unsigned("RngSeed", false), Settings: s}, false, nil, nil
+		return &Create{Seed: f.unsigned("RngSeed", false), Settings: s.Control}, false, nil, nil
 	case "CRASH_NOW":
 		return nil, true, nil, nil
 	case "DISCOVERY":
