Count the wait of a held-back request from the first of its train

A trace of submits, kills and replies had one KILL QUERY for each lost request, 50 to 170 ms before the end of its allow, all survey-load, all at the end of a row of writes of one key exactly 60 ms apart.

Ruled out: late reads (26 us behind the kernel's time), lost or late replies (no other reply came after its deadline), kills of the wrong session (each named the session of the lost request).

At fault: broker.submit took deadline = Sent + Allow. Now waitsFrom counts from the start of the train of a key.

Unknown classes and keyed requests without key get an error.

--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -32,7 +32,8 @@
 	Group    int    // group of tables
 	Work     time.Duration
 	MemoryMB float64
-	Sent     time.Duration // when the client sent it, as far as can be told
+	Sent     time.Duration // when the client wrote it, as far as can be told
+	Fresh    bool          // nothing came on its connection before
 	Allow    time.Duration // how long the client waits from then
 	Body     string
 }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"container/heap"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -18,14 +19,14 @@
 
 	pageTimeout  = 500 * time.Millisecond // for each page: a silent engine is given up after it
 	probeTimeout = 250 * time.Millisecond
-	mostQueued   = 16 // commands that a session may have waiting for their turn
+	settle       = 10 * time.Millisecond // a word to an engine is there by then
+	mostQueued   = 16                    // commands that a session may have waiting for their turn
 )
 
 // Broker is the reducer. It is not safe for concurrent use.
 type Broker struct {
 	decide    *control.Controller
 	round     time.Duration
-	fields    []string
 	lastRound time.Duration
 	pending   []control.Event
 	out       []Effect
@@ -40,6 +41,8 @@
 	seq     int64
 
 	probes  map[uint64]probe
+	trains  map[string]*train // by order key
+	classes map[string]control.Class
 	timers  timers
 	ordinal uint64
 	stopped bool
@@ -90,8 +93,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Broker{decide: c, round: set.Round, fields: set.ReportFields, sessions: map[Session]*session{},
-		requests: map[uint64]*request{}, engines: map[string]*engine{}, probes: map[uint64]probe{}}, nil
+	b := &Broker{decide: c, round: set.Round, sessions: map[Session]*session{}, requests: map[uint64]*request{},
+		engines: map[string]*engine{}, probes: map[uint64]probe{}, trains: map[string]*train{},
+		classes: map[string]control.Class{}}
+	for _, k := range set.Classes {
+		b.classes[k.Name] = k
+	}
+	return b, nil
 }
 
 // Seq is the number of the last change taken.
@@ -245,9 +253,19 @@
 }
 
 func (b *Broker) submit(s *session, ev Submit) {
+	k, known := b.classes[ev.Request.Class]
+	switch {
+	case !known:
+		b.reply(ev.Session, Reply{Kind: BadFields, Text: "no such class"})
+		return
+	case k.Effect == control.Keyed && ev.Request.Idem == "":
+		// Without it an engine could not drop a repeat, and the effect might come twice.
+		b.reply(ev.Session, Reply{Kind: BadFields, Text: "the class needs an idempotency key"})
+		return
+	}
 	b.nextID++
 	r := &request{Request: ev.Request, id: b.nextID, name: strconv.FormatUint(b.nextID, 10), session: ev.Session,
-		deadline: ev.Request.Sent + ev.Request.Allow, priority: 1}
+		deadline: b.waitsFrom(ev.Request) + ev.Request.Allow, priority: 1}
 	b.requests[r.id] = r
 	s.open = r
 	b.open++
@@ -255,6 +273,50 @@
 		Key: r.Order, Tables: r.Group, Deadline: r.deadline, Work: r.Work, MemoryMB: r.MemoryMB}}})
 }
 
+// A train is a row of requests of one key, each written as soon after the one before as clients may.
+type train struct {
+	start, last time.Duration
+	fresh       bool // the last one came on a new connection
+}
+
+// Clients write requests of one key no closer than this, the second figure after one on a new connection;
+// the slack is for the way here.
+const (
+	keyGap      = 60 * time.Millisecond
+	freshKeyGap = 250 * time.Millisecond
+	gapSlack    = 15 * time.Millisecond
+	mostTrains  = 1024 // keys remembered before those that are over are dropped
+)
+
+// waitsFrom is when a client's wait for a request may have begun. Clients hold a request back while another
+// of its key was written just before, but count their wait from when they meant to send it. Guards against
+// answers that come after it: of a request that follows so closely only this is sure, that it was not meant
+// before the first of its train.
+func (b *Broker) waitsFrom(r Request) time.Duration {
+	if r.Order == "" {
+		return r.Sent
+	}
+	t := b.trains[r.Order]
+	if t == nil || !t.holds(r.Sent) {
+		if len(b.trains) >= mostTrains {
+			maps.DeleteFunc(b.trains, func(_ string, t *train) bool { return !t.holds(r.Sent) })
+		}
+		t = &train{start: r.Sent}
+		b.trains[r.Order] = t
+	}
+	t.last, t.fresh = max(t.last, r.Sent), r.Fresh
+	return min(t.start, r.Sent)
+}
+
+// holds tells whether a request written at a time may have been held back for this train.
+func (t *train) holds(at time.Duration) bool {
+	gap := keyGap
+	if t.fresh {
+		gap = freshKeyGap
+	}
+	return at-t.last < gap+gapSlack
+}
+
 // idle lets a session go on with what came ahead of its answer.
 func (b *Broker) idle(now time.Duration, id Session) {
 	s := b.sessions[id]
@@ -414,6 +476,12 @@
 		// Guards against a BUSY or VOID for a page, which would pass as proof that nothing ran.
 		status = control.Failed
 	}
+	if a.r.Order != "" && (status == control.Cancelled || status == control.TimedOut) {
+		// Guards the order of a key at the engines: the word that calls this attempt off has left, but the
+		// next request of the key could overtake it on the way to another engine.
+		b.after(now+settle, func(now time.Duration) { b.end(now, a, control.Attempt{Status: status, Report: ev.Report}) })
+		return
+	}
 	b.end(now, a, control.Attempt{Status: status, Report: ev.Report})
 }
 
--- /dev/null
+++ b/internal/broker/broker_test.go
@@ -0,0 +1,344 @@
+package broker
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"wheatlane/control"
+	"wheatlane/internal/changelog"
+)
+
+const (
+	ms    = time.Millisecond
+	start = 1000 * time.Hour
+)
+
+func settings() control.Settings {
+	return control.Settings{Gateways: 1, Round: 5 * ms,
+		Classes: []control.Class{
+			{Name: "lookup", Aim: 400 * ms, Worth: 1, Threads: 1},
+			{Name: "load", Aim: 3 * time.Second, Worth: 20, Threads: 2, Effect: control.Keyed, Window: 15 * time.Second,
+				Ordered: true, LateWorth: 0.5, Load: true}},
+		Kinds:  map[string]control.Kind{"std": {Cores: 8, MemoryMB: 16384}},
+		Limits: control.Limits{MaxAttempts: 4, Cancel: true, Copies: true, RetryHints: true, MaxRetryWait: 500 * ms}}
+}
+
+func host(id, addr string, state control.EngineState) changelog.Host {
+	return changelog.Host{Engine: control.Engine{ID: id, Kind: "std", State: state}, Addr: addr}
+}
+
+// rig drives a broker through time and keeps what it asks for.
+type rig struct {
+	t   *testing.T
+	b   *Broker
+	now time.Duration
+	got []Effect
+}
+
+func newRig(t *testing.T, hosts ...changelog.Host) *rig {
+	b, err := New(settings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, b: b, now: start}
+	r.apply(Changes{changelog.Page{Seq: 1, Changes: []changelog.Change{{Seq: 1, Whole: true, Hosts: hosts}}}})
+	r.run(2 * settings().Round)
+	return r
+}
+
+func (r *rig) apply(events ...Event) []Effect {
+	from := len(r.got)
+	for _, ev := range events {
+		r.got = append(r.got, r.b.Apply(r.now, ev)...)
+	}
+	r.got = append(r.got, r.b.Tick(r.now)...)
+	return r.got[from:]
+}
+
+// run lets time pass in steps of a millisecond.
+func (r *rig) run(d time.Duration) []Effect {
+	from := len(r.got)
+	for end := r.now + d; r.now < end; {
+		r.now += ms
+		r.got = append(r.got, r.b.Tick(r.now)...)
+	}
+	return r.got[from:]
+}
+
+func of[T Effect](effects []Effect) (out []T) {
+	for _, e := range effects {
+		if e, ok := e.(T); ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (r *rig) submit(s Session, class, key string, allow time.Duration) []Effect {
+	return r.apply(Submit{s, Request{Ref: fmt.Sprintf("%016x", s), Class: class, Order: key, Idem: "op", Sent: r.now,
+		Allow: allow, Body: "SELECT 1"}})
+}
+
+func (r *rig) kinds() (out []Kind) {
+	for _, reply := range of[Reply](r.got) {
+		out = append(out, reply.Kind)
+	}
+	return out
+}
+
+func (r *rig) wantKinds(kinds ...Kind) {
+	r.t.Helper()
+	if diff := cmp.Diff(kinds, r.kinds()); diff != "" {
+		r.t.Fatalf("replies (-want +got):\n%s", diff)
+	}
+}
+
+// A result counts only once every page is in; what breaks it on the way costs an attempt, not the answer.
+func TestPages(t *testing.T) {
+	row := []byte("a\tb\tc\n")
+	for name, c := range map[string]struct {
+		events func(a Attempt) []Event
+		kinds  []Kind
+		wants  int // attempts made
+		shut   int
+	}{
+		"whole at once": {func(a Attempt) []Event { return []Event{Served{Attempt: a, Pages: 1, Body: row}} }, []Kind{Result}, 1, 0},
+		"no rows":       {func(a Attempt) []Event { return []Event{Served{Attempt: a, Pages: 1}} }, []Kind{Result}, 1, 0},
+		"pages in any order": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: 3, Body: row}, Page{a, 2, row}, Page{a, 1, row}}
+		}, []Kind{Result}, 1, 0},
+		"waits for its pages": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: 3, Body: row}, Page{a, 2, row}}
+		}, nil, 1, 0},
+		"engine dies between pages": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: 2, Body: row}, Ended{Attempt: a, Status: control.Reset}}
+		}, nil, 2, 0},
+		"page lost": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: 2, Body: row}, Ended{Attempt: a, Status: control.Failed}}
+		}, nil, 2, 0},
+		"half a row":     {func(a Attempt) []Event { return []Event{Served{Attempt: a, Pages: 1, Body: []byte("a\tb")}} }, nil, 2, 1},
+		"a column short": {func(a Attempt) []Event { return []Event{Served{Attempt: a, Pages: 1, Body: []byte("a\tb\n")}} }, nil, 2, 1},
+		"a page twice": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: 3, Body: row}, Page{a, 1, row}, Page{a, 1, row}}
+		}, nil, 2, 1},
+		"too large": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: 2, Body: row}, Page{a, 1, append(make([]byte, MostResult), row...)}}
+		}, nil, 2, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, host("e1", "127.0.0.1:1", control.Ready), host("e2", "127.0.0.1:2", control.Ready))
+			r.submit(1, "lookup", "", 2*time.Second)
+			wants := of[Want](r.got)
+			if len(wants) != 1 {
+				t.Fatalf("%d attempts", len(wants))
+			}
+			r.apply(c.events(wants[0].Attempt)...)
+			r.run(20 * ms)
+			r.wantKinds(c.kinds...)
+			shut := 0
+			for _, f := range of[Forget](r.got) {
+				if f.Shut {
+					shut++
+				}
+			}
+			if got := len(of[Want](r.got)); got != c.wants || shut != c.shut {
+				t.Fatalf("%d attempts and %d shut, want %d and %d", got, shut, c.wants, c.shut)
+			}
+		})
+	}
+}
+
+// Guards against an engine that falls silent between pages.
+func TestASilentPageIsGivenUp(t *testing.T) {
+	r := newRig(t, host("e1", "127.0.0.1:1", control.Ready), host("e2", "127.0.0.1:2", control.Ready))
+	r.submit(1, "load", "", 9*time.Second)
+	r.apply(Served{Attempt: of[Want](r.got)[0].Attempt, Pages: 2, Body: []byte("a\tb\tc\n")})
+	r.run(pageTimeout + 20*ms)
+	if n := len(of[Want](r.got)); n != 2 {
+		t.Fatalf("%d attempts, want 2", n)
+	}
+}
+
+// Every request gets one answer before its client gives up, whatever its attempt does, and none after a kill.
+func TestOneAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(r *rig, a Attempt)
+		want []Kind
+	}{
+		"silent engine": {func(r *rig, a Attempt) {}, []Kind{Refused}},
+		"answer after the end": {func(r *rig, a Attempt) {
+			r.run(2 * time.Second)
+			r.apply(Served{Attempt: a, Pages: 1})
+		}, []Kind{Refused}},
+		"two answers":   {func(r *rig, a Attempt) { r.apply(Served{Attempt: a, Pages: 1}, Served{Attempt: a, Pages: 1}) }, []Kind{Result}},
+		"killed":        {func(r *rig, a Attempt) { r.apply(Kill{By: 2, Target: 1}) }, []Kind{Done, Interrupted}},
+		"client closed": {func(r *rig, a Attempt) { r.apply(SessionClosed{1}) }, nil},
+		"stopped":       {func(r *rig, a Attempt) { r.apply(Stop{500 * ms}) }, []Kind{Failed}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, host("e1", "127.0.0.1:1", control.Ready))
+			r.submit(1, "lookup", "", 2*time.Second)
+			a := of[Want](r.got)[0].Attempt
+			c.do(r, a)
+			r.run(2*time.Second - 1)
+			r.wantKinds(c.want...)
+			if r.b.Open() != 0 {
+				t.Fatalf("%d requests are owed an answer", r.b.Open())
+			}
+			if len(of[GiveUp](r.got)) == 0 && name != "two answers" {
+				t.Fatal("its attempt was not called off")
+			}
+		})
+	}
+}
+
+// Seen: a request that its client had held back, as another of its key was written just before, was answered
+// by its own time of writing, after the client had left: its wait had begun when it was meant to be sent.
+func TestTheWaitOfAHeldBackRequestBeginsWithItsTrain(t *testing.T) {
+	type write struct {
+		at    time.Duration
+		fresh bool
+		key   string
+	}
+	for name, c := range map[string]struct {
+		writes []write
+		want   time.Duration // when the last one's wait is counted from
+	}{
+		"alone":                   {[]write{{0, false, "k"}}, 0},
+		"long after":              {[]write{{0, false, "k"}, {200 * ms, false, "k"}}, 200 * ms},
+		"close behind":            {[]write{{0, false, "k"}, {60 * ms, false, "k"}}, 0},
+		"third of a train":        {[]write{{0, false, "k"}, {60 * ms, false, "k"}, {120 * ms, false, "k"}}, 0},
+		"behind a new connection": {[]write{{0, true, "k"}, {250 * ms, false, "k"}}, 0},
+		"another key":             {[]write{{0, false, "k"}, {60 * ms, false, "other"}}, 60 * ms},
+		"no key":                  {[]write{{0, false, ""}, {60 * ms, false, ""}}, 60 * ms},
+	} {
+		b, err := New(settings(), 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got time.Duration
+		for _, w := range c.writes {
+			got = b.waitsFrom(Request{Order: w.key, Sent: start + w.at, Fresh: w.fresh})
+		}
+		if got != start+c.want {
+			t.Errorf("%s: counted from %v, want %v", name, got-start, c.want)
+		}
+	}
+}
+
+// Requests of one key go to engines one at a time, in the order in which they were sent, also when they are
+// read in another, and the next one not before the word that calls the last one off is there.
+func TestOrderOfAKey(t *testing.T) {
+	r := newRig(t, host("e1", "127.0.0.1:1", control.Ready), host("e2", "127.0.0.1:2", control.Ready))
+	request := func(s Session, sent time.Duration) Event {
+		return Submit{s, Request{Ref: fmt.Sprint(s), Class: "load", Order: "k", Idem: "op", Sent: sent, Allow: 9 * time.Second}}
+	}
+	r.run(10 * ms)
+	r.apply(request(3, r.now), request(2, r.now-80*ms), request(1, r.now-160*ms))
+	var refs []string
+	for range 3 {
+		r.run(200 * ms)
+		wants := of[Want](r.got)
+		last := wants[len(wants)-1]
+		refs = append(refs, last.Ref)
+		r.apply(Served{Attempt: last.Attempt, Pages: 1})
+	}
+	if diff := cmp.Diff([]string{"1", "2", "3"}, refs); diff != "" {
+		t.Fatal(diff)
+	}
+	r.submit(4, "load", "k2", 9*time.Second)
+	r.submit(5, "load", "k2", 9*time.Second)
+	r.run(200 * ms)
+	wants := of[Want](r.got)
+	first := wants[len(wants)-1]
+	r.apply(SessionClosed{4})
+	if r.run(10 * ms); len(of[GiveUp](r.got)) != 1 || first.Ref != fmt.Sprintf("%016x", 4) {
+		t.Fatal("the one whose client left was not called off")
+	}
+	r.apply(Ended{Attempt: first.Attempt, Status: control.Cancelled})
+	if r.run(settle - ms); len(of[Want](r.got)) != len(wants) {
+		t.Fatal("the next one left before the word could be there")
+	}
+	r.run(200 * ms)
+	if wants := of[Want](r.got); wants[len(wants)-1].Ref != fmt.Sprintf("%016x", 5) {
+		t.Fatal("the next one was not sent")
+	}
+}
+
+// A refusal is given only where that is true: of a request that may have run, only if its class allows it.
+func TestEndsOfAttempts(t *testing.T) {
+	for name, c := range map[string]struct {
+		status control.Status
+		pages  bool
+		want   control.Status
+	}{
+		"refused connect": {control.ConnectFailed, false, control.ConnectFailed},
+		"busy":            {control.Full, false, control.Full},
+		// Guards against a BUSY for a page passing as proof that the query never ran.
+		"busy for a page": {control.Full, true, control.Failed},
+		"void for a page": {control.Moot, true, control.Failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, host("e1", "127.0.0.1:1", control.Ready))
+			r.submit(1, "lookup", "", 2*time.Second)
+			a := of[Want](r.got)[0].Attempt
+			if c.pages {
+				r.apply(Served{Attempt: a, Pages: 2, Body: []byte("a\tb\tc\n")})
+			}
+			r.b.Apply(r.now, Ended{Attempt: a, Status: c.status})
+			told := r.b.pending[len(r.b.pending)-1].(control.Attempt)
+			if told.Status != c.want {
+				t.Fatalf("told the module %v, want %v", told.Status, c.want)
+			}
+		})
+	}
+}
+
+// Changes of the list: what drains gets nothing that has not left, what is gone or has lost its address is
+// dropped, and a page that comes twice counts once.
+func TestChanges(t *testing.T) {
+	page := func(seq int64, whole bool, hosts ...changelog.Host) Event {
+		return Changes{changelog.Page{Seq: seq, Changes: []changelog.Change{{Seq: seq, Whole: whole, Hosts: hosts}}}}
+	}
+	restarted := host("e1", "127.0.0.1:1", control.Ready)
+	restarted.StartedAt = start
+	for name, c := range map[string]struct {
+		change Event
+		want   []Effect
+	}{
+		"drains":           {page(2, false, host("e1", "127.0.0.1:1", control.Draining)), []Effect{DropUnsent{"e1"}}},
+		"gone":             {page(2, false, host("e1", "127.0.0.1:1", control.Gone)), []Effect{DropEngine{"e1"}}},
+		"restarted":        {page(2, false, restarted), []Effect{DropEngine{"e1"}}},
+		"moved":            {page(2, false, host("e1", "127.0.0.1:9", control.Ready)), []Effect{DropEngine{"e1"}}},
+		"address passed":   {page(2, false, host("e3", "127.0.0.1:1", control.Ready)), []Effect{DropEngine{"e1"}}},
+		"left a whole one": {page(2, true, host("e2", "127.0.0.1:2", control.Ready)), []Effect{DropEngine{"e1"}}},
+		"known before":     {page(1, false, host("e1", "127.0.0.1:1", control.Gone)), nil},
+	} {
+		r := newRig(t, host("e1", "127.0.0.1:1", control.Ready), host("e2", "127.0.0.1:2", control.Ready))
+		if diff := cmp.Diff(c.want, r.apply(c.change)); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// What a session asks is answered in order, also what comes ahead of an answer.
+func TestSessionsAnswerInOrder(t *testing.T) {
+	r := newRig(t, host("e1", "127.0.0.1:1", control.Ready))
+	r.apply(Ping{1})
+	r.submit(1, "lookup", "", time.Second)
+	r.apply(Ping{1}, Submit{1, Request{Class: "nonsense"}}, Submit{1, Request{Class: "load"}}, Kill{By: 1, Target: 77})
+	r.wantKinds(Done)
+	r.apply(Served{Attempt: of[Want](r.got)[0].Attempt, Pages: 1})
+	r.wantKinds(Done, Result, Done, BadFields, BadFields, NoSession)
+	r.apply(Stop{time.Second}, Ping{1})
+	r.wantKinds(Done, Result, Done, BadFields, BadFields, NoSession, NotReady)
+}
+
+func TestNotReadyWithoutEngines(t *testing.T) {
+	r := newRig(t, host("e1", "127.0.0.1:1", control.Draining))
+	r.apply(Ping{1})
+	r.wantKinds(NotReady)
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -53,14 +53,16 @@
 
 func parse(text []byte, getenv func(string) string) (Config, error) {
 	var file struct {
-		Name, Listen, Seed, Changelog string
-		Limits                        struct {
-			Cores    float64
+		Name      string `json:"name"`
+		Listen    string `json:"listen"`
+		Seed      string `json:"seed"`
+		Changelog string `json:"changelog"`
+		Limits    struct {
 			MemoryMB int `json:"memory_mb"`
-			Sockets  int
-		}
-		Known    json.RawMessage
-		Settings json.RawMessage
+			Sockets  int `json:"sockets"`
+		} `json:"limits"`
+		Known    json.RawMessage `json:"known"`
+		Settings json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
 		var wrong *json.UnmarshalTypeError
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,63 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.4:6565","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "changelog":"127.0.0.1:4222","known":{"seq":3,"results":[]},"settings":{"RequestClasses":[{"Name":"a","Effect":"repeatable","GiveUpNs":2000000000}]}}`
+
+func load(t *testing.T, text string, env map[string]string) (Config, error) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Load(func(key string) string {
+		if key == "RELAY_CONFIG" {
+			return path
+		}
+		return env[key]
+	})
+}
+
+func TestLoad(t *testing.T) {
+	c, err := load(t, good, map[string]string{"RELAY_NAME": "n4"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := c.Settings
+	if c.Name != "n4" || c.Seed != 0x8c1f30d27a5be964 || c.Known.Seq != 3 || c.Sockets != 1024 || s.MaxStreams != 100 ||
+		s.ConnectTimeout != 250*time.Millisecond || s.ConnIdle != 30*time.Second || s.LongestGiveUp != 2*time.Second {
+		t.Fatalf("got %+v", c)
+	}
+}
+
+// Every fault ends in an error that names the key.
+func TestFaultsNameTheKey(t *testing.T) {
+	for key, change := range map[string][2]string{
+		"listen:":                              {`127.0.0.4:6565`, `nowhere`},
+		"changelog:":                           {`127.0.0.1:4222`, ``},
+		"seed:":                                {`8c1f30d27a5be964`, `xyz`},
+		"limits.memory_mb:":                    {`"memory_mb":192`, `"memory_mb":1`},
+		"limits.sockets:":                      {`"sockets":1024`, `"sockets":-5`},
+		"limits.sockets: a JSON string":        {`"sockets":1024`, `"sockets":"x"`},
+		"known: ":                              {`"results":[]`, `"results":[{"fleet":{"hosts":[{"host":"a"}]}}]`},
+		"settings: missing":                    {`"settings"`, `"setting"`},
+		"settings.RequestClasses[0].Effect:":   {`repeatable`, `odd`},
+		"settings.RequestClasses[0].KeyScope:": {`"Effect"`, `"KeyScope":"odd","Effect"`},
+		"settings.Limits.MaxStreams:":          {`"RequestClasses"`, `"Limits":{"MaxStreams":-1},"RequestClasses"`},
+		"settings.RequestClasses.Name: a JSON": {`"Name":"a"`, `"Name":7`},
+	} {
+		text := strings.Replace(good, change[0], change[1], 1)
+		if _, err := load(t, text, nil); text == good || err == nil || !strings.Contains(err.Error(), key) {
+			t.Errorf("got %v, want %q", err, key)
+		}
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil || !strings.Contains(err.Error(), "RELAY_CONFIG") {
+		t.Errorf("got %v without a file", err)
+	}
+}
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -26,8 +26,10 @@
 
 func (e *FieldError) Error() string { return "field " + e.Field + ": " + e.Problem }
 
-// mostAllow is the longest wait, a day, that a field may ask for: more can't be meant.
-const mostAllow = 24 * 60 * 60 * 1000
+const (
+	mostAllow = 24 * 60 * 60 * 1000 // the longest wait, a day, that a field may ask for: more can't be meant
+	mostToken = 64                  // the longest idempotency key
+)
 
 // ParseStatement reads the comment of fields ahead of a statement, and the statement.
 func ParseStatement(text string) (Statement, error) {
@@ -56,7 +58,7 @@
 		case "project":
 			s.Project = value
 		case "replay":
-			s.Replay, err = hexDigits(value, 32)
+			s.Replay, err = token(value)
 		case "lookup":
 			s.Lookup, err = hexDigits(value, 16)
 		case "effort":
@@ -93,6 +95,19 @@
 	return v, err
 }
 
+// token takes what can stand in a field of an engine's request without changing its meaning.
+func token(s string) (string, error) {
+	for _, c := range []byte(s) {
+		if !word(c) && c != '-' || c >= 0x80 {
+			return "", fmt.Errorf("has a character that has no place in it")
+		}
+	}
+	if s == "" || len(s) > mostToken {
+		return "", fmt.Errorf("is not 1 to %d characters long", mostToken)
+	}
+	return s, nil
+}
+
 func hexDigits(s string, n int) (string, error) {
 	if len(s) != n || strings.Trim(s, "0123456789abcdefABCDEF") != "" {
 		return "", fmt.Errorf("is not %d hex digits", n)
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -19,21 +19,24 @@
 const (
 	user, database = "app", "main"
 
-	clientIn     = 2 * (mysql.MostPacket + mysql.HeaderLen) // a whole packet and what came behind it
-	clientOut    = 256 << 10                                // several whole results
+	clientIn     = mysql.MostPacket + mysql.HeaderLen // a whole packet
+	clientOut    = 256 << 10                          // several whole results
 	loginTimeout = 5 * time.Second
 	clientIdle   = time.Minute // beyond the longest deadline; clients close sooner
 	lingerTime   = 200 * time.Millisecond
 	lingerBytes  = 1 << 20
 	acceptPause  = 10 * time.Millisecond // after a failed accept
-	clientShare  = 2                     // clients get the limit of sockets over this at the most
+	// Clients get the limit of sockets over this at the most. They hold a third of it; the rest of the half is
+	// for connections that they have closed and this side has not.
+	clientShare = 2
 )
 
 // client is a client's connection.
 type client struct {
-	n    *Node
-	id   broker.Session
-	link *link
+	n     *Node
+	id    broker.Session
+	link  *link
+	asked bool // a request came on it
 }
 
 // accept takes connections as they come.
@@ -48,7 +51,10 @@
 				return ctx.Err()
 			}
 			n.log.Sugar().Warnw("accept failed", "error", err)
-			time.Sleep(acceptPause)
+			select {
+			case <-ctx.Done():
+			case <-time.After(acceptPause):
+			}
 			continue
 		}
 		began := time.Now()
@@ -234,7 +240,9 @@
 	if err != nil {
 		return c.answer(broker.BadFields, err.Error())
 	}
-	return broker.Submit{Session: c.id, Request: broker.Request{Ref: s.Ref, Class: s.Service, Tenant: s.Project,
+	fresh := !c.asked
+	c.asked = true
+	return broker.Submit{Session: c.id, Request: broker.Request{Fresh: fresh, Ref: s.Ref, Class: s.Service, Tenant: s.Project,
 		Idem: s.Replay, Order: s.Lookup, Group: s.Group, Work: time.Duration(s.EffortMS * float64(time.Millisecond)),
 		MemoryMB: s.RAMMB, Sent: sent, Allow: time.Duration(s.AllowMS) * time.Millisecond, Body: s.Text}}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -187,7 +187,10 @@
 // stop begins a planned restart.
 func (n *Node) stop() {
 	n.stopAt = time.Now()
-	within := min(n.cfg.Settings.LongestGiveUp, stopCap) + stopExtra - stopMargin
+	within := stopCap + stopExtra - stopMargin
+	if longest := n.cfg.Settings.LongestGiveUp; longest > 0 {
+		within = min(longest, stopCap) + stopExtra - stopMargin
+	}
 	n.log.Info("stopping", zap.Int("open", n.b.Open()), zap.Duration("within", within))
 	n.apply(broker.Stop{Within: within})
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -121,10 +121,9 @@
 func (p *pool) send(s *stream) {
 	at, err := s.c.link.write(s.message)
 	s.start, s.message = at, nil
-	if err != nil {
+	if err != nil { // no room, so nothing of it leaves
 		p.remove(s)
 		p.end(s, control.ConnectFailed)
-		p.close(s.c, BufferFull)
 	}
 }
 
