Judge time-outs after a standstill only once what came meanwhile is read

Now a round that is 25 ms late reads for 5 ms first, and only sends to engines get stale (link.pace).

Memory at the worst: a request's text is dropped with its answer (timers held it to the deadline) and two commands instead of sixteen may wait ahead of an answer.

--- a/cmd/wheatlane/main.go
+++ b/cmd/wheatlane/main.go
@@ -46,19 +46,14 @@
 	defer log.Sync() //nolint:errcheck // standard error may not be one that can be synced
 	log = log.With(zap.String("broker", cfg.Name))
 
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
 	n, err := node.New(context.Background(), cfg, log)
 	if err != nil {
 		return err
 	}
-	stop := make(chan struct{})
-	go func() {
-		<-signals
-		close(stop)
-	}()
 	log.Info("serving", zap.Stringer("listen", n.Addr()), zap.Int64("seq", cfg.Known.Seq))
-	if err := n.Run(context.Background(), stop); err != nil {
+	if err := n.Run(context.Background(), stop.Done()); err != nil {
 		return err
 	}
 	log.Info("stopped")
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -20,7 +20,7 @@
 	pageTimeout  = 500 * time.Millisecond // for each page: a silent engine is given up after it
 	probeTimeout = 250 * time.Millisecond
 	settle       = 10 * time.Millisecond // a word to an engine is there by then
-	mostQueued   = 16                    // commands that a session may have waiting for their turn
+	mostQueued   = 2                     // commands that a session may have waiting for their turn
 )
 
 // Broker is the reducer. It is not safe for concurrent use.
@@ -36,7 +36,7 @@
 	nextID   uint64
 	open     int // requests that are owed an answer
 
-	engines map[string]*engine
+	engines map[string]changelog.Host
 	ready   int // engines in service
 	seq     int64
 
@@ -78,10 +78,6 @@
 	size    int
 }
 
-type engine struct {
-	changelog.Host
-}
-
 type probe struct {
 	engine string
 	sent   time.Duration
@@ -94,7 +90,7 @@
 		return nil, err
 	}
 	b := &Broker{decide: c, round: set.Round, sessions: map[Session]*session{}, requests: map[uint64]*request{},
-		engines: map[string]*engine{}, probes: map[uint64]probe{}, trains: map[string]*train{},
+		engines: map[string]changelog.Host{}, probes: map[uint64]probe{}, trains: map[string]*train{},
 		classes: map[string]control.Class{}}
 	for _, k := range set.Classes {
 		b.classes[k.Name] = k
@@ -344,6 +340,7 @@
 		return false
 	}
 	r.over = true
+	r.Body = "" // timers may hold the request until its deadline; its text would add up
 	b.open--
 	b.forget(r)
 	return true
@@ -410,12 +407,12 @@
 	}
 	a := &attempt{id: Attempt{r.id, len(r.attempts)}, r: r, engine: s.Engine, sent: now, out: true}
 	r.attempts = append(r.attempts, a)
-	e := b.engines[s.Engine]
+	e, listed := b.engines[s.Engine]
 	until := r.deadline
 	if s.Timeout > 0 {
 		until = min(until, now+s.Timeout)
 	}
-	if r.over || until <= now || e == nil || e.State != control.Ready {
+	if r.over || until <= now || !listed || e.State != control.Ready {
 		// Guards against a send that the module decided before it could know: nothing has left.
 		b.end(now, a, control.Attempt{Status: control.Moot})
 		return
@@ -493,7 +490,7 @@
 		return
 	}
 	if ev.Pages < 1 || ev.Pages > MostResult || !whole(ev.Body) {
-		b.broken(now, a, "a result that can't be read", true)
+		b.broken(now, a, "a result that can't be read")
 		return
 	}
 	a.served, a.pages, a.missing, a.size = &ev, make([][]byte, ev.Pages), ev.Pages-1, len(ev.Body)
@@ -513,7 +510,7 @@
 	missing := a.missing
 	b.after(now+pageTimeout, func(now time.Duration) {
 		if a.out && a.missing == missing && a.ending == control.OK {
-			b.broken(now, a, "a page that did not come", true)
+			b.broken(now, a, "a page that did not come")
 		} else if a.out && a.ending == control.OK {
 			b.awaitPages(now, a)
 		}
@@ -527,7 +524,7 @@
 	}
 	a.size += len(ev.Body)
 	if ev.Number < 1 || ev.Number >= len(a.pages) || a.pages[ev.Number] != nil || !whole(ev.Body) || a.size > MostResult {
-		b.broken(now, a, "a page that can't be read", true)
+		b.broken(now, a, "a page that can't be read")
 		return
 	}
 	a.pages[ev.Number] = ev.Body
@@ -549,9 +546,9 @@
 }
 
 // broken ends an attempt whose result can't be had whole.
-func (b *Broker) broken(now time.Duration, a *attempt, why string, shut bool) {
+func (b *Broker) broken(now time.Duration, a *attempt, why string) {
 	b.do(Note{"engine " + a.engine + " gave " + why})
-	b.do(Forget{a.id, shut})
+	b.do(Forget{Attempt: a.id, Shut: true})
 	b.end(now, a, control.Attempt{Status: control.Failed})
 }
 
@@ -564,8 +561,8 @@
 }
 
 func (b *Broker) probe(now time.Duration, id string) {
-	e := b.engines[id]
-	if e == nil || e.State == control.Gone {
+	e, listed := b.engines[id]
+	if !listed {
 		b.tell(control.ProbeResult{Engine: id, Status: control.ConnectFailed})
 		return
 	}
@@ -628,9 +625,9 @@
 			b.do(DropEngine{id})
 		}
 	}
-	old := b.engines[h.ID]
+	old, listed := b.engines[h.ID]
 	switch {
-	case h.State == control.Gone, old != nil && (old.Addr != h.Addr || h.StartedAt > old.StartedAt):
+	case h.State == control.Gone, listed && (old.Addr != h.Addr || h.StartedAt > old.StartedAt):
 		b.do(DropEngine{h.ID})
 	case h.State == control.Draining:
 		b.do(DropUnsent{h.ID})
@@ -638,7 +635,7 @@
 	if h.State == control.Gone {
 		delete(b.engines, h.ID)
 	} else {
-		b.engines[h.ID] = &engine{h}
+		b.engines[h.ID] = h
 	}
 }
 
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -329,12 +329,22 @@
 	r := newRig(t, host("e1", "127.0.0.1:1", control.Ready))
 	r.apply(Ping{1})
 	r.submit(1, "lookup", "", time.Second)
-	r.apply(Ping{1}, Submit{1, Request{Class: "nonsense"}}, Submit{1, Request{Class: "load"}}, Kill{By: 1, Target: 77})
+	r.apply(Ping{1}, Submit{1, Request{Class: "nonsense"}})
 	r.wantKinds(Done)
 	r.apply(Served{Attempt: of[Want](r.got)[0].Attempt, Pages: 1})
-	r.wantKinds(Done, Result, Done, BadFields, BadFields, NoSession)
-	r.apply(Stop{time.Second}, Ping{1})
+	r.wantKinds(Done, Result, Done, BadFields)
+	r.apply(Submit{1, Request{Class: "load"}}, Kill{By: 1, Target: 77}, Stop{time.Second}, Ping{1})
 	r.wantKinds(Done, Result, Done, BadFields, BadFields, NoSession, NotReady)
+	if len(of[CloseSession](r.got)) > 0 {
+		t.Fatal("the session was closed")
+	}
+	r.submit(2, "lookup", "", time.Second)
+	for range mostQueued + 1 { // what a client asks ahead is bounded, as is what it may hold in memory
+		r.apply(Ping{2})
+	}
+	if len(of[CloseSession](r.got)) != 1 {
+		t.Fatal("a session that asks too much ahead was not closed")
+	}
 }
 
 func TestNotReadyWithoutEngines(t *testing.T) {
--- a/internal/mysql/packet.go
+++ b/internal/mysql/packet.go
@@ -53,6 +53,7 @@
 
 // Capability flags of the protocol.
 const (
+	longPassword     = 1
 	connectWithDB    = 1 << 3
 	protocol41       = 1 << 9
 	useTLS           = 1 << 11
@@ -61,8 +62,7 @@
 	pluginAuth       = 1 << 19
 	pluginAuthLenenc = 1 << 21
 
-	capabilities = 1 | connectWithDB | protocol41 | transactions | secureConnection | pluginAuth
-	longPassword = 1
+	capabilities = longPassword | connectWithDB | protocol41 | transactions | secureConnection | pluginAuth
 
 	utf8mb4    = 45
 	autocommit = 2 // status flag
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -11,18 +11,25 @@
 	"wheatlane/internal/ring"
 )
 
-const (
-	// writeTimeout bounds one write; what can't be written by then has no use any more.
-	writeTimeout = 250 * time.Millisecond
-	// mostWaiting bounds how long bytes may wait in the buffer before they leave. It guards the rule on drains:
-	// a send that the module decided on before it was told must not leave after the grace.
-	mostWaiting = 400 * time.Millisecond
+// pace bounds how long a link takes to write.
+type pace struct {
+	write time.Duration // one write
+	wait  time.Duration // bytes in the buffer before a write; 0: as long as it takes
+}
+
+var (
+	// Engines: guards the rule on drains, as a send that the module decided on before it was told must not
+	// leave after the grace.
+	enginePace = pace{write: 250 * time.Millisecond, wait: 400 * time.Millisecond}
+	// Others: a late answer is better than none, so that nothing is dropped after a standstill of this process.
+	otherPace = pace{write: 5 * time.Second}
 )
 
 // link is a connection with its two ring buffers and the goroutine that writes.
 type link struct {
-	nc net.Conn
-	in *ring.Buffer // of the goroutine that reads
+	nc   net.Conn
+	pace pace
+	in   *ring.Buffer // of the goroutine that reads
 
 	mu        sync.Mutex
 	out       *ring.Buffer
@@ -40,8 +47,8 @@
 	do func()
 }
 
-func newLink(nc net.Conn, mostIn, mostOut int) *link {
-	return &link{nc: nc, in: ring.New(mostIn), out: ring.New(mostOut), kick: make(chan struct{}, 1)}
+func newLink(nc net.Conn, p pace, mostIn, mostOut int) *link {
+	return &link{nc: nc, pace: p, in: ring.New(mostIn), out: ring.New(mostOut), kick: make(chan struct{}, 1)}
 }
 
 // write puts p into the buffer and returns the offset of its first byte. It never blocks.
@@ -158,10 +165,10 @@
 	if len(one) == 0 {
 		return 0, nil
 	}
-	if now.Sub(since) > mostWaiting {
+	if l.pace.wait > 0 && now.Sub(since) > l.pace.wait {
 		return 0, &ended{Reason: WriteTimeout}
 	}
-	if err := l.nc.SetWriteDeadline(now.Add(writeTimeout)); err != nil {
+	if err := l.nc.SetWriteDeadline(now.Add(l.pace.write)); err != nil {
 		return 0, err
 	}
 	n, err := l.nc.Write(one)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,8 @@
 	stopExtra  = 700 * time.Millisecond // protocol: and so much more
 	stopMargin = 250 * time.Millisecond // ours: what is left is answered so long before SIGKILL
 	flushWait  = 200 * time.Millisecond // last answers get so long to leave
+	standstill = 25 * time.Millisecond  // a round so late means that the whole process stood still
+	catchUp    = 5 * time.Millisecond   // what came meanwhile is read for so long before anything is judged
 )
 
 // Node is a running broker.
@@ -104,6 +106,8 @@
 	n.apply(broker.Changes{Page: n.cfg.Known})
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	due := now()
+	behind := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -119,6 +123,16 @@
 		case <-timer.C:
 		}
 		n.settle()
+		// Guards against time-outs judged before the answers that came while the process stood still are read.
+		switch t := now(); {
+		case !behind && t-due > standstill:
+			behind, due = true, t+catchUp
+			timer.Reset(catchUp)
+			continue
+		case behind && t < due:
+			continue
+		}
+		behind = false
 		n.carryOut(n.b.Tick(now()))
 		n.settle()
 		if time.Since(n.sweptAt) > sweepEvery {
@@ -132,7 +146,9 @@
 		if at, ok := n.b.Next(); ok {
 			wait = min(wait, at-now())
 		}
-		timer.Reset(max(wait, 0))
+		wait = max(wait, 0)
+		due = now() + wait
+		timer.Reset(wait)
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -666,3 +666,41 @@
 		}
 	}
 }
+
+// Seen on paper: after a standstill of the process, bytes for a client that waited were dropped as stale and
+// its request was lost. Only sends to engines may be too late to leave.
+func TestOnlySendsToEnginesGetStale(t *testing.T) {
+	for name, c := range map[string]struct {
+		pace pace
+		want Reason
+	}{"client": {otherPace, Killed}, "engine": {enginePace, WriteTimeout}} {
+		near, far := net.Pipe()
+		l := newLink(near, c.pace, 100, 100)
+		if _, err := l.write([]byte("late")); err != nil {
+			t.Fatal(err)
+		}
+		l.since = time.Now().Add(-time.Second)
+		l.finish(&ended{Reason: Killed})
+		go io.Copy(io.Discard, far)
+		if got := reasonOf(l.drain(t.Context())); got != c.want {
+			t.Errorf("%s: ended as %s, want %s", name, got, c.want)
+		}
+		far.Close()
+	}
+}
+
+// Guards against bytes of a write that is under way passing for ones that never left.
+func TestAWriteUnderWayMayHaveLeft(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	l := newLink(near, otherPace, 100, 100)
+	l.write([]byte("first"))
+	go l.drain(t.Context())
+	if _, err := far.Read(make([]byte, 1)); err != nil { // the write is under way now
+		t.Fatal(err)
+	}
+	at, _ := l.write([]byte("second"))
+	if left := l.left(); left != 5 || at != 5 {
+		t.Fatalf("%d bytes may have left, the second begins at %d; want 5 and 5", left, at)
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -148,7 +148,7 @@
 		if err != nil {
 			err = &ended{ConnectFailed, err}
 		} else {
-			l := newLink(nc, engineIn, engineOut)
+			l := newLink(nc, enginePace, engineIn, engineOut)
 			n.post(ctx, func() { p.up(c, l) })
 			err = l.run(ctx, func(ctx context.Context) error { return p.read(ctx, c, l) })
 		}
@@ -301,18 +301,13 @@
 	if s == nil || s.ending {
 		return
 	}
-	if s.c.link == nil { // it has not left: its message would have to be made anew
-		p.hurryUnsent(s, e.Priority)
+	if s.c.link == nil { // the word follows the message once the connection is up
+		s.message = resp.Append(s.message, "hurry", s.id, strconv.Itoa(e.Priority))
 		return
 	}
 	p.say(s.c, "hurry", s.id, strconv.Itoa(e.Priority))
 }
 
-// hurryUnsent lets the word follow the message once the connection is up.
-func (p *pool) hurryUnsent(s *stream, priority int) {
-	s.message = resp.Append(s.message, "hurry", s.id, strconv.Itoa(priority))
-}
-
 // forget lets go of an attempt that has ended well, or whose pages are not wanted.
 func (p *pool) forget(e broker.Forget) {
 	s := p.out[e.Attempt]
