Replace silent engine connections, and bound how late a send may leave

Seen: a new socket test for an engine that stays silent ended its connection as idle after 18 s, not as retired. Two causes: pool.up set heard to the moment the connection came up, later than the attempt that waited for it, so doubt never held for the first one; and it asked for a second of silence, while the module gives an attempt up after 600 ms. Now heard is set by answers only and 500 ms are enough.

By reading: a write to an engine could block for 250 ms after 400 ms in the buffer, past the grace of a drain; now both share 400 ms (link.send). The reducer's goroutine wakes every 20 ms, so that a standstill as long as the least gap between two requests of a key is always noticed.

--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -43,7 +43,7 @@
 	if err != nil {
 		return &ended{ConnectFailed, err}
 	}
-	l := newLink(nc, otherPace, mostPending, 4<<10)
+	l := newLink(nc, 0, mostPending, 4<<10)
 	return l.run(ctx, func(ctx context.Context) error {
 		for {
 			if _, err := l.write(changelog.Request(n.cfg.Changelog, *since, pollWait)); err != nil {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -61,7 +61,7 @@
 		peer := nc.RemoteAddr().String()
 		if n.connected.Load() >= most { // a cap reached is a refusal
 			n.group.Go(func() error {
-				l := newLink(nc, otherPace, clientIn, clientOut)
+				l := newLink(nc, 0, clientIn, clientOut)
 				l.write(mysql.AppendError(nil, 0, mysql.CodeConnections, "too many connections"))
 				l.finish(&ended{Reason: TooMany})
 				n.ended("client", peer, began, l.run(ctx, func(ctx context.Context) error { return l.linger(ctx) }))
@@ -71,7 +71,7 @@
 		}
 		n.connected.Add(1)
 		n.nextID++
-		c := &client{n: n, id: n.nextID, link: newLink(nc, otherPace, clientIn, clientOut)}
+		c := &client{n: n, id: n.nextID, link: newLink(nc, 0, clientIn, clientOut)}
 		n.group.Go(func() error {
 			defer n.connected.Add(-1)
 			n.post(ctx, func() { n.clients[c.id] = c })
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -11,31 +11,27 @@
 	"wheatlane/internal/ring"
 )
 
-// pace bounds how long a link takes to write.
-type pace struct {
-	write time.Duration // one write
-	wait  time.Duration // bytes in the buffer before a write; 0: as long as it takes
-}
-
-var (
-	// Engines: guards the rule on drains, as a send that the module decided on before it was told must not
-	// leave after the grace.
-	enginePace = pace{write: 250 * time.Millisecond, wait: 400 * time.Millisecond}
-	// Others: a late answer is better than none, so that nothing is dropped after a standstill of this process.
-	otherPace = pace{write: 5 * time.Second}
+const (
+	// engineWait bounds how long bytes for an engine may wait before they leave, be it in the buffer or in a
+	// write that blocks. It guards the rule on drains: a send that the module decided on before it was told must
+	// not leave after the grace.
+	engineWait = 400 * time.Millisecond
+	// writeWait bounds a write to others. What waited in the buffer is still written: a late answer is better
+	// than none after a standstill of this process.
+	writeWait = 5 * time.Second
 )
 
 // link is a connection with its two ring buffers and the goroutine that writes.
 type link struct {
-	nc   net.Conn
-	pace pace
-	in   *ring.Buffer // of the goroutine that reads
+	nc    net.Conn
+	stale time.Duration // bytes that waited so long must not leave; 0: any may
+	in    *ring.Buffer  // of the goroutine that reads
 
 	mu        sync.Mutex
 	out       *ring.Buffer
 	put, sent int64     // bytes put into out and taken by the kernel since the start
 	handed    int64     // and those that a write has been given, which may be under way
-	since     time.Time // the oldest byte in out came no earlier
+	since     time.Time // when the oldest byte in out came, or a little before
 	marks     []mark
 	closing   *ended // end so once out is empty
 	kick      chan struct{}
@@ -47,8 +43,8 @@
 	do func()
 }
 
-func newLink(nc net.Conn, p pace, mostIn, mostOut int) *link {
-	return &link{nc: nc, pace: p, in: ring.New(mostIn), out: ring.New(mostOut), kick: make(chan struct{}, 1)}
+func newLink(nc net.Conn, stale time.Duration, mostIn, mostOut int) *link {
+	return &link{nc: nc, stale: stale, in: ring.New(mostIn), out: ring.New(mostOut), kick: make(chan struct{}, 1)}
 }
 
 // write puts p into the buffer and returns the offset of its first byte. It never blocks.
@@ -165,10 +161,11 @@
 	if len(one) == 0 {
 		return 0, nil
 	}
-	if l.pace.wait > 0 && now.Sub(since) > l.pace.wait {
-		return 0, &ended{Reason: WriteTimeout}
+	until := now.Add(writeWait)
+	if l.stale > 0 {
+		until = since.Add(l.stale)
 	}
-	if err := l.nc.SetWriteDeadline(now.Add(l.pace.write)); err != nil {
+	if err := l.nc.SetWriteDeadline(until); err != nil {
 		return 0, err
 	}
 	n, err := l.nc.Write(one)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,7 +28,8 @@
 	stopExtra  = 700 * time.Millisecond // protocol: and so much more
 	stopMargin = 250 * time.Millisecond // ours: what is left is answered so long before SIGKILL
 	flushWait  = 200 * time.Millisecond // last answers get so long to leave
-	standstill = 25 * time.Millisecond  // a round so late means that the whole process stood still
+	heartbeat  = 20 * time.Millisecond  // the reducer's goroutine wakes at least so often, to notice a standstill
+	standstill = 25 * time.Millisecond  // waking so late means that the whole process stood still
 	catchUp    = 5 * time.Millisecond   // what came meanwhile is read for so long before anything is judged
 )
 
@@ -123,7 +124,8 @@
 		case <-timer.C:
 		}
 		n.settle()
-		// Guards against time-outs judged before the answers that came while the process stood still are read.
+		// Guards against time-outs judged before the answers that came while the process stood still are read,
+		// and requests of one key, written 60 ms apart at the least, taken in another order.
 		switch t := now(); {
 		case !behind && t-due > standstill:
 			behind, due = true, t+catchUp
@@ -142,7 +144,7 @@
 		if n.finished() {
 			return nil
 		}
-		wait := sweepEvery
+		wait := heartbeat
 		if at, ok := n.b.Next(); ok {
 			wait = min(wait, at-now())
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -598,6 +598,20 @@
 	(&customer{t: t, nc: nc, r: bufio.NewReader(nc)}).want("1040")
 }
 
+// An engine whose machine vanished leaves its connection open and silent. Once an attempt was given up there,
+// the next goes to a new connection, which would not come up.
+func TestASilentConnectionIsReplaced(t *testing.T) {
+	e := newEngine(t)
+	s := serve(t, host("e1", e.addr, "in_service", 0))
+	s.dial(query("lookup", 1, 3*time.Second, "")).want("1226")
+	e.next(t, "want")
+	e.next(t, "never_mind")
+	next(t, e.closed, "the end of the silent connection")
+	if got := s.reasons(e.addr); got != string(Retired) {
+		t.Fatalf("it ended as %s", got)
+	}
+}
+
 // Connections to engines that are idle are closed from this side, before the engines do.
 func TestIdleEngineConnectionsClose(t *testing.T) {
 	e := newEngine(t)
@@ -671,11 +685,11 @@
 // its request was lost. Only sends to engines may be too late to leave.
 func TestOnlySendsToEnginesGetStale(t *testing.T) {
 	for name, c := range map[string]struct {
-		pace pace
-		want Reason
-	}{"client": {otherPace, Killed}, "engine": {enginePace, WriteTimeout}} {
+		stale time.Duration
+		want  Reason
+	}{"client": {0, Killed}, "engine": {engineWait, WriteTimeout}} {
 		near, far := net.Pipe()
-		l := newLink(near, c.pace, 100, 100)
+		l := newLink(near, c.stale, 100, 100)
 		if _, err := l.write([]byte("late")); err != nil {
 			t.Fatal(err)
 		}
@@ -693,7 +707,7 @@
 func TestAWriteUnderWayMayHaveLeft(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
-	l := newLink(near, otherPace, 100, 100)
+	l := newLink(near, 0, 100, 100)
 	l.write([]byte("first"))
 	go l.drain(t.Context())
 	if _, err := far.Read(make([]byte, 1)); err != nil { // the write is under way now
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -17,11 +17,11 @@
 const (
 	engineIn     = resp.MostMessage
 	engineOut    = 1 << 20
-	engineShare  = 4    // connections to engines get the limit of sockets over this at the most
-	perEngine    = 8    // connections to one engine
-	mostGivenUp  = 1024 // ids given up on one connection before it is replaced
-	idlePart     = 0.6  // of the engines' limit on idle time: ours close first
-	silentFor    = time.Second
+	engineShare  = 4                      // connections to engines get the limit of sockets over this at the most
+	perEngine    = 8                      // connections to one engine
+	mostGivenUp  = 1024                   // ids given up on one connection before it is replaced
+	idlePart     = 0.6                    // of the engines' limit on idle time: ours close first
+	silentFor    = 500 * time.Millisecond // the module takes 600 ms at least to call an attempt lost
 	oldestProbe  = time.Second
 	probeMark    = "p" // ahead of a probe's tag; ids of requests are hex digits
 	standardRank = 1   // the priority that an engine takes when none is named
@@ -148,7 +148,7 @@
 		if err != nil {
 			err = &ended{ConnectFailed, err}
 		} else {
-			l := newLink(nc, enginePace, engineIn, engineOut)
+			l := newLink(nc, engineWait, engineIn, engineOut)
 			n.post(ctx, func() { p.up(c, l) })
 			err = l.run(ctx, func(ctx context.Context) error { return p.read(ctx, c, l) })
 		}
@@ -167,7 +167,7 @@
 	if c.gone {
 		return
 	}
-	c.link, c.heard = l, time.Now()
+	c.link = l
 	waiting := make([]*stream, 0, len(c.streams))
 	for _, s := range c.streams {
 		waiting = append(waiting, s)
