Reload the configuration on SIGHUP and follow the change log to its new address

Ruled out: a panic or a fault of the file, as its log ends without a line and 129 is the default action of the signal. At fault: cmd/wheatlane/main.go caught SIGTERM and SIGINT only, and node.follow knew one address for good.

SIGHUP is now caught before anything else. The file is loaded and checked again; a faulty one is logged with its key. The poll at the old address ends at once (reason code moved), the next asks at the new one since the last change taken. Other keys that differ are named in the log line.

--- a/cmd/wheatlane/main.go
+++ b/cmd/wheatlane/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -12,6 +13,7 @@
 	"syscall"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"wheatlane/internal/config"
 	"wheatlane/internal/node"
@@ -29,6 +31,9 @@
 }
 
 func run() error {
+	// Guards against a SIGHUP that ends the program, as it does one that takes no notice of it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -53,9 +58,33 @@
 		return err
 	}
 	log.Info("serving", zap.Stringer("listen", n.Addr()), zap.Int64("seq", cfg.Known.Seq))
-	if err := n.Run(context.Background(), stop.Done()); err != nil {
+	ctx, end := context.WithCancel(context.Background())
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return reload(ctx, hup, n, log) })
+	g.Go(func() error {
+		defer end()
+		return n.Run(ctx, stop.Done())
+	})
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
 	}
 	log.Info("stopped")
 	return nil
 }
+
+// reload reads the configuration again at each SIGHUP. A faulty one changes nothing.
+func reload(ctx context.Context, hup <-chan os.Signal, n *node.Node, log *zap.Logger) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hup:
+		}
+		cfg, err := config.Load(os.Getenv)
+		if err != nil {
+			log.Error("not reloaded, the configuration before stays", zap.Error(err))
+			continue
+		}
+		n.Reload(ctx, cfg)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"wheatlane/internal/changelog"
@@ -51,6 +52,27 @@
 	return c, nil
 }
 
+// NeedRestart names the keys in which a new configuration differs from that of a running broker and which
+// take effect at its next start only. The seed is new with each start, so it is none of them.
+func (c Config) NeedRestart(next Config) []string {
+	keys := []string{}
+	for _, k := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name},
+		{"listen", c.Listen == next.Listen},
+		{"limits.memory_mb", c.MemoryMB == next.MemoryMB},
+		{"limits.sockets", c.Sockets == next.Sockets},
+		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
+	} {
+		if !k.same {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
+
 func parse(text []byte, getenv func(string) string) (Config, error) {
 	var file struct {
 		Name      string `json:"name"`
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -61,3 +62,24 @@
 		t.Errorf("got %v without a file", err)
 	}
 }
+
+func TestNeedRestart(t *testing.T) {
+	old, err := load(t, good, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for change, want := range map[[2]string]string{
+		{`4222`, `4223`}:                      "[]",
+		{`8c1f`, `9c1f`}:                      "[]",
+		{`"n3"`, `"n4"`}:                      "[name]",
+		{`6565`, `6566`}:                      "[listen]",
+		{`"memory_mb":192`, `"memory_mb":64`}: "[limits.memory_mb]",
+		{`"sockets":1024`, `"sockets":256`}:   "[limits.sockets]",
+		{`"Name":"a"`, `"Name":"b"`}:          "[settings]",
+	} {
+		next, err := load(t, strings.Replace(good, change[0], change[1], 1), nil)
+		if got := fmt.Sprint(old.NeedRestart(next)); err != nil || got != want {
+			t.Errorf("%s for %s: got %s, %v; want %s", change[1], change[0], got, err, want)
+		}
+	}
+}
--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -18,35 +18,50 @@
 	mostPending = changelog.MostBody + 64<<10
 )
 
-// follow keeps a long poll at the change log. The first try after a loss comes at once.
+// follow keeps a long poll at the change log. The first try after a loss or a move comes at once.
 func (n *Node) follow(ctx context.Context, since int64) error {
 	pause := time.Duration(0)
 	for ctx.Err() == nil {
+		at, addr := n.here(ctx)
 		began, before := time.Now(), since
-		err := n.poll(ctx, &since)
-		n.ended("changelog", n.cfg.Changelog, began, err)
-		if since > before || time.Since(began) > pollWait {
+		err := n.poll(at, addr, &since)
+		moved := at.Err() != nil && ctx.Err() == nil
+		if moved {
+			err = &ended{Moved, err}
+		}
+		n.ended("changelog", addr, began, err)
+		if moved || since > before || time.Since(began) > pollWait {
 			pause = 0
 		}
 		select {
-		case <-ctx.Done():
+		case <-at.Done():
+			pause = 0
 		case <-time.After(pause):
+			pause = min(longPause, max(firstPause, 2*pause))
 		}
-		pause = min(longPause, max(firstPause, 2*pause))
 	}
 	return ctx.Err()
 }
 
+// here is the address of the change log, with a context that ends when that changes.
+func (n *Node) here(ctx context.Context) (context.Context, string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leave() // the context before is not needed any more
+	ctx, n.leave = context.WithCancel(ctx)
+	return ctx, n.changelog
+}
+
 // poll polls on one connection until that ends, and moves since on.
-func (n *Node) poll(ctx context.Context, since *int64) error {
-	nc, err := (&net.Dialer{Timeout: logConnect}).DialContext(ctx, "tcp", n.cfg.Changelog)
+func (n *Node) poll(ctx context.Context, addr string, since *int64) error {
+	nc, err := (&net.Dialer{Timeout: logConnect}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return &ended{ConnectFailed, err}
 	}
 	l := newLink(nc, 0, mostPending, 4<<10)
 	return l.run(ctx, func(ctx context.Context) error {
 		for {
-			if _, err := l.write(changelog.Request(n.cfg.Changelog, *since, pollWait)); err != nil {
+			if _, err := l.write(changelog.Request(addr, *since, pollWait)); err != nil {
 				return err
 			}
 			if err := nc.SetReadDeadline(time.Now().Add(pollWait + pollSlack)); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,10 @@
 	sweptAt   time.Time
 	stopAt    time.Time // when SIGTERM came
 	scratch   []byte
+
+	mu        sync.Mutex // guards what follows
+	changelog string     // address of the change log
+	leave     func()     // ends what goes on at an earlier address
 }
 
 // New returns a broker that listens already, so that no client is turned away while it starts.
@@ -64,7 +69,8 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	n := &Node{cfg: cfg, log: log, b: b, inbox: make(chan func(), inboxSize), ln: ln,
-		clients: map[broker.Session]*client{}, nextID: broker.Session(cfg.Seed)}
+		clients: map[broker.Session]*client{}, nextID: broker.Session(cfg.Seed),
+		changelog: cfg.Changelog, leave: func() {}}
 	n.pool = newPool(n)
 	return n, nil
 }
@@ -93,6 +99,19 @@
 	return err
 }
 
+// Reload takes over what a new configuration says of the change log: where it is, and what it has told. All
+// else of a running broker stays as it is; keys that differ are logged, as they wait for a restart.
+func (n *Node) Reload(ctx context.Context, cfg config.Config) {
+	n.mu.Lock()
+	if n.changelog != cfg.Changelog {
+		n.changelog = cfg.Changelog
+		n.leave()
+	}
+	n.mu.Unlock()
+	n.post(ctx, func() { n.apply(broker.Changes{Page: cfg.Known}) })
+	n.log.Info("reloaded", zap.String("changelog", cfg.Changelog), zap.Strings("need_restart", n.cfg.NeedRestart(cfg)))
+}
+
 // post hands f to the goroutine that owns the reducer. It waits while that is behind.
 func (n *Node) post(ctx context.Context, f func()) {
 	select {
--- a/internal/node/reason.go
+++ b/internal/node/reason.go
@@ -35,6 +35,7 @@
 	EngineGone    Reason = "engine_gone"          // its engine left, restarted or lost its address
 	Retired       Reason = "retired"              // replaced: silent, or used up
 	Silent        Reason = "silent"               // no answer of the change log in its time
+	Moved         Reason = "moved"                // the configuration names another address for the change log
 	HTTPStatus    Reason = "http_status"          // the change log refused
 	Shutdown      Reason = "shutdown"             // the broker stops
 	Failed        Reason = "failed"               // any other error, which the line holds
