Let idle and silent sessions make room at the cap instead of refusing newcomers

Clients that ask once and stay held all of the half of the descriptors that clients may have. Ruled out: engines (no failed connects in the logs), memory (8 of 48 MB), CPU (0.08 s in the worst second). At fault: node.accept refused at the cap and nothing ever closed an idle session but a minute without a word.

Now the reducer knows every session from its connect on; at the cap one makes room for the new one: silent ones first, then idle ones. Also: whoever begins a message and does not end it, or never logs in, is closed in 2 s (5 s before; owed within 3 s of connecting); one that asks too much ahead gets an error before its close.

Tried and dropped: leaving newcomers in the kernel's backlog while no slot is free. 4% of requests timed out and one broke the order of its key, as what is written there counts as taken.

--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -42,6 +42,10 @@
 type Event interface{ event() }
 
 type (
+	// Connected says that a client has connected. Nothing of it is read before the effect Admit.
+	Connected struct{ Session Session }
+	// LoggedIn says that a client is one that may ask.
+	LoggedIn struct{ Session Session }
 	// Submit is a request of a session.
 	Submit struct {
 		Session Session
@@ -94,6 +98,8 @@
 	Stop struct{ Within time.Duration }
 )
 
+func (Connected) event()     {}
+func (LoggedIn) event()      {}
 func (Submit) event()        {}
 func (Ping) event()          {}
 func (Kill) event()          {}
@@ -124,6 +130,17 @@
 	BadCommand              // the command is not known here
 	NoSession               // the session to kill is not here
 	NoDatabase              // the database is not here
+	Crowded                 // there are too many sessions
+)
+
+// Close is why the reducer ends a session.
+type Close int
+
+// The reasons to end a session.
+const (
+	Killed   Close = iota // a client asked for it, or it asked too much ahead
+	MadeRoom              // it said nothing for long while there were too many
+	NoRoom                // there are too many, and all are busy
 )
 
 type (
@@ -135,8 +152,13 @@
 		Text     string
 		Cooldown time.Duration
 	}
-	// CloseSession ends a client's connection.
-	CloseSession struct{ Session Session }
+	// Admit lets a client in: it is greeted and read.
+	Admit struct{ Session Session }
+	// CloseSession ends a client's connection, once what was written to it has left.
+	CloseSession struct {
+		Session Session
+		Why     Close
+	}
 	// Want sends an attempt to an engine.
 	Want struct {
 		Attempt  Attempt
@@ -181,6 +203,7 @@
 )
 
 func (Reply) effect()        {}
+func (Admit) effect()        {}
 func (CloseSession) effect() {}
 func (Want) effect()         {}
 func (Turn) effect()         {}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -20,7 +20,6 @@
 	pageTimeout  = 500 * time.Millisecond // for each page: a silent engine is given up after it
 	probeTimeout = 250 * time.Millisecond
 	settle       = 10 * time.Millisecond // a word to an engine is there by then
-	mostQueued   = 2                     // commands that a session may have waiting for their turn
 )
 
 // Broker is the reducer. It is not safe for concurrent use.
@@ -31,7 +30,7 @@
 	pending   []control.Event
 	out       []Effect
 
-	sessions map[Session]*session
+	sessions sessions
 	requests map[uint64]*request
 	nextID   uint64
 	open     int // requests that are owed an answer
@@ -48,11 +47,6 @@
 	stopped bool
 }
 
-type session struct {
-	open  *request // what it waits for an answer to
-	queue []Event  // commands that came meanwhile
-}
-
 type request struct {
 	Request
 	id       uint64
@@ -83,13 +77,13 @@
 	sent   time.Duration
 }
 
-// New returns a broker that knows no engines yet.
-func New(set control.Settings, seed uint64) (*Broker, error) {
+// New returns a broker that knows no engines yet and keeps so many sessions at the most.
+func New(set control.Settings, seed uint64, mostSessions int) (*Broker, error) {
 	c, err := control.New(set, seed)
 	if err != nil {
 		return nil, err
 	}
-	b := &Broker{decide: c, round: set.Round, sessions: map[Session]*session{}, requests: map[uint64]*request{},
+	b := &Broker{decide: c, round: set.Round, sessions: newSessions(mostSessions), requests: map[uint64]*request{},
 		engines: map[string]changelog.Host{}, probes: map[uint64]probe{}, trains: map[string]*train{},
 		classes: map[string]control.Class{}}
 	for _, k := range set.Classes {
@@ -173,6 +167,10 @@
 // Apply takes one event.
 func (b *Broker) Apply(now time.Duration, ev Event) []Effect {
 	switch ev := ev.(type) {
+	case Connected:
+		b.connected(now, ev.Session)
+	case LoggedIn:
+		b.loggedIn(now, ev.Session)
 	case Submit:
 		b.command(now, ev.Session, ev)
 	case Ping:
@@ -182,12 +180,7 @@
 	case Bad:
 		b.command(now, ev.Session, ev)
 	case SessionClosed:
-		if s := b.sessions[ev.Session]; s != nil {
-			if s.open != nil {
-				b.gone(s.open)
-			}
-			delete(b.sessions, ev.Session)
-		}
+		b.sessionEnds(ev.Session)
 	case Served:
 		b.served(now, ev)
 	case Page:
@@ -204,60 +197,17 @@
 	return b.take()
 }
 
-// command takes what a session asks, one thing at a time: what comes ahead of an answer waits its turn.
-func (b *Broker) command(now time.Duration, id Session, ev Event) {
-	s := b.sessions[id]
-	if s == nil {
-		s = &session{}
-		b.sessions[id] = s
-	}
-	if s.open != nil {
-		if len(s.queue) >= mostQueued {
-			b.do(CloseSession{id})
-			return
-		}
-		s.queue = append(s.queue, ev)
-		return
-	}
-	switch ev := ev.(type) {
-	case Submit:
-		b.submit(s, ev)
-	case Ping:
-		if b.stopped || b.ready == 0 {
-			b.reply(id, Reply{Kind: NotReady, Text: "no engine can be used, or the broker is stopping"})
-		} else {
-			b.reply(id, Reply{Kind: Done})
-		}
-	case Kill:
-		target := b.sessions[ev.Target]
-		if target == nil {
-			b.reply(id, Reply{Kind: NoSession, Text: "no such session"})
-			return
-		}
-		b.reply(id, Reply{Kind: Done})
-		if r := target.open; r != nil {
-			b.reply(ev.Target, Reply{Kind: Interrupted, Text: "the query was killed"})
-			b.gone(r)
-			b.idle(now, ev.Target)
-		}
-		if ev.Connection {
-			b.do(CloseSession{ev.Target})
-		}
-	case Bad:
-		b.reply(id, ev.Reply)
-	}
-}
-
-func (b *Broker) submit(s *session, ev Submit) {
+// submit takes a request; false if its fields can't be used.
+func (b *Broker) submit(s *session, ev Submit) bool {
 	k, known := b.classes[ev.Request.Class]
 	switch {
 	case !known:
 		b.reply(ev.Session, Reply{Kind: BadFields, Text: "no such class"})
-		return
+		return false
 	case k.Effect == control.Keyed && ev.Request.Idem == "":
 		// Without it an engine could not drop a repeat, and the effect might come twice.
 		b.reply(ev.Session, Reply{Kind: BadFields, Text: "the class needs an idempotency key"})
-		return
+		return false
 	}
 	b.nextID++
 	r := &request{Request: ev.Request, id: b.nextID, name: strconv.FormatUint(b.nextID, 10), session: ev.Session,
@@ -267,6 +217,7 @@
 	b.open++
 	b.tell(arrival{sent: r.Sent, Arrival: control.Arrival{Query: control.Query{ID: r.name, Class: r.Class, Tenant: r.Tenant,
 		Key: r.Order, Tables: r.Group, Deadline: r.deadline, Work: r.Work, MemoryMB: r.MemoryMB}}})
+	return true
 }
 
 // A train is a row of requests of one key, each written as soon after the one before as clients may.
@@ -313,20 +264,6 @@
 	return at-t.last < gap+gapSlack
 }
 
-// idle lets a session go on with what came ahead of its answer.
-func (b *Broker) idle(now time.Duration, id Session) {
-	s := b.sessions[id]
-	if s == nil {
-		return
-	}
-	s.open = nil
-	for s.open == nil && len(s.queue) > 0 {
-		ev := s.queue[0]
-		s.queue = s.queue[1:]
-		b.command(now, id, ev)
-	}
-}
-
 // gone ends a request whose client waits no more; nothing is owed for it.
 func (b *Broker) gone(r *request) {
 	if b.finish(r) {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -21,14 +21,16 @@
 
 	clientIn     = mysql.MostPacket + mysql.HeaderLen // a whole packet
 	clientOut    = 256 << 10                          // several whole results
-	loginTimeout = 5 * time.Second
-	clientIdle   = time.Minute // beyond the longest deadline; clients close sooner
+	loginTimeout = 2 * time.Second                    // protocol: whoever says nothing is owed an end within 3 s
+	wholeTimeout = 2 * time.Second                    // and so is one that begins a message and does not end it
+	clientIdle   = time.Minute                        // beyond the longest deadline; clients close sooner
 	lingerTime   = 200 * time.Millisecond
 	lingerBytes  = 1 << 20
 	acceptPause  = 10 * time.Millisecond // after a failed accept
-	// Clients get the limit of sockets over this at the most. They hold a third of it; the rest of the half is
-	// for connections that they have closed and this side has not.
-	clientShare = 2
+	// What neither connections to engines nor ownSockets need of the limit of sockets is for clients. One part
+	// in closingShare is for connections that are about to end, the rest bounds the sessions.
+	ownSockets   = 16 // listener, change log, log, configuration file, the runtime's own
+	closingShare = 8
 )
 
 // client is a client's connection.
@@ -37,13 +39,14 @@
 	id    broker.Session
 	link  *link
 	asked bool // a request came on it
+
+	admitted chan struct{} // closed once it may be greeted
 }
 
 // accept takes connections as they come.
 func (n *Node) accept(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { n.ln.Close() })
 	defer stop()
-	most := int32(n.cfg.Sockets / clientShare)
 	for {
 		nc, err := n.ln.Accept()
 		if err != nil {
@@ -59,22 +62,24 @@
 		}
 		began := time.Now()
 		peer := nc.RemoteAddr().String()
-		if n.connected.Load() >= most { // a cap reached is a refusal
-			n.group.Go(func() error {
-				l := newLink(nc, 0, clientIn, clientOut)
-				l.write(mysql.AppendError(nil, 0, mysql.CodeConnections, "too many connections"))
-				l.finish(&ended{Reason: TooMany})
-				n.ended("client", peer, began, l.run(ctx, func(ctx context.Context) error { return l.linger(ctx) }))
-				return nil
-			})
+		select {
+		case n.slots <- struct{}{}:
+		default:
+			// Closed at once, not left waiting in the kernel: what is written there counts as taken, and requests
+			// of one key that come later would overtake it.
+			nc.Write(mysql.AppendError(nil, 0, mysql.CodeConnections, "too many connections")) // a new socket has room for it
+			nc.Close()
+			n.ended("client", peer, began, &ended{Reason: TooMany})
 			continue
 		}
-		n.connected.Add(1)
 		n.nextID++
-		c := &client{n: n, id: n.nextID, link: newLink(nc, 0, clientIn, clientOut)}
+		c := &client{n: n, id: n.nextID, link: newLink(nc, 0, clientIn, clientOut), admitted: make(chan struct{})}
 		n.group.Go(func() error {
-			defer n.connected.Add(-1)
-			n.post(ctx, func() { n.clients[c.id] = c })
+			defer func() { <-n.slots }()
+			n.post(ctx, func() {
+				n.clients[c.id] = c
+				n.apply(broker.Connected{Session: c.id})
+			})
 			n.ended("client", peer, began, c.link.run(ctx, c.read))
 			n.post(ctx, func() {
 				delete(n.clients, c.id)
@@ -87,6 +92,11 @@
 
 // read greets a client, logs it in and hands on what it asks.
 func (c *client) read(ctx context.Context) error {
+	select {
+	case <-c.admitted:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	if err := c.greet(); err != nil {
 		return err
 	}
@@ -94,13 +104,16 @@
 	if err := l.nc.SetReadDeadline(time.Now().Add(loginTimeout)); err != nil {
 		return err
 	}
-	loggedIn := false
+	loggedIn, begun := false, false // begun: a part of a message is there
 	idle := c.n.cfg.Settings.LongestGiveUp + clientIdle
 	for {
 		_, err := l.in.ReadOnce(l.nc)
 		if err != nil {
-			if !loggedIn && isTimeout(err) {
+			switch {
+			case isTimeout(err) && !loggedIn:
 				return &ended{LoginTimeout, err}
+			case isTimeout(err) && begun:
+				return &ended{ReadTimeout, err}
 			}
 			return err
 		}
@@ -117,16 +130,23 @@
 				err = c.command(ctx, seq, payload, sent)
 			} else if err = c.login(ctx, seq, payload); err == nil {
 				loggedIn = true
+				c.n.post(ctx, func() { c.n.apply(broker.LoggedIn{Session: c.id}) })
 			}
 			l.in.Discard(size)
 			if err != nil {
 				return err
 			}
 		}
-		if loggedIn {
-			if err := l.nc.SetReadDeadline(time.Now().Add(idle)); err != nil {
-				return err
-			}
+		within := idle
+		switch part := l.in.Len() > 0; {
+		case !loggedIn, part && begun: // its time is running, however slowly more comes
+			continue
+		case part:
+			within = wholeTimeout
+		}
+		begun = l.in.Len() > 0
+		if err := l.nc.SetReadDeadline(time.Now().Add(within)); err != nil {
+			return err
 		}
 	}
 }
@@ -274,6 +294,8 @@
 	broker.BadFields: mysql.CodeArguments, broker.BadCommand: mysql.CodeCommand,
 	broker.NoSession: mysql.CodeNoThread, broker.NoDatabase: mysql.CodeUnknownDB}
 
+var closings = map[broker.Close]Reason{broker.Killed: Killed, broker.MadeRoom: MadeRoom, broker.NoRoom: TooMany}
+
 // reply writes an answer to its client, if that is still there.
 func (n *Node) reply(r broker.Reply) {
 	c := n.clients[r.Session]
@@ -292,6 +314,8 @@
 		return mysql.AppendResult(dst, 1, r.Pages)
 	case broker.Done:
 		return mysql.AppendOK(dst, 1)
+	case broker.Crowded: // in place of the greeting
+		return mysql.AppendError(dst, 0, mysql.CodeConnections, r.Text)
 	}
 	text := r.Text
 	if ms := r.Cooldown.Milliseconds(); ms > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,14 +43,14 @@
 	group *errgroup.Group
 	ln    net.Listener
 
-	backlog   []broker.Event // events that effects gave
-	clients   map[broker.Session]*client
-	nextID    broker.Session
-	connected atomic.Int32 // clients
-	pool      pool
-	sweptAt   time.Time
-	stopAt    time.Time // when SIGTERM came
-	scratch   []byte
+	backlog []broker.Event // events that effects gave
+	clients map[broker.Session]*client
+	nextID  broker.Session
+	slots   chan struct{} // one is taken for each client's socket
+	pool    pool
+	sweptAt time.Time
+	stopAt  time.Time // when SIGTERM came
+	scratch []byte
 
 	mu        sync.Mutex // guards what follows
 	changelog string     // address of the change log
@@ -60,7 +59,8 @@
 
 // New returns a broker that listens already, so that no client is turned away while it starts.
 func New(ctx context.Context, cfg config.Config, log *zap.Logger) (*Node, error) {
-	b, err := broker.New(cfg.Settings.Control, cfg.Seed)
+	slots := cfg.Sockets - cfg.Sockets/engineShare - ownSockets
+	b, err := broker.New(cfg.Settings.Control, cfg.Seed, slots-slots/closingShare)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -69,7 +69,7 @@
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	n := &Node{cfg: cfg, log: log, b: b, inbox: make(chan func(), inboxSize), ln: ln,
-		clients: map[broker.Session]*client{}, nextID: broker.Session(cfg.Seed),
+		clients: map[broker.Session]*client{}, nextID: broker.Session(cfg.Seed), slots: make(chan struct{}, slots),
 		changelog: cfg.Changelog, leave: func() {}}
 	n.pool = newPool(n)
 	return n, nil
@@ -195,9 +195,13 @@
 		switch e := e.(type) {
 		case broker.Reply:
 			n.reply(e)
+		case broker.Admit:
+			if c := n.clients[e.Session]; c != nil {
+				close(c.admitted)
+			}
 		case broker.CloseSession:
 			if c := n.clients[e.Session]; c != nil {
-				c.link.finish(&ended{Reason: Killed})
+				c.link.finish(&ended{Reason: closings[e.Why]})
 			}
 		case broker.Want:
 			n.pool.want(e)
--- a/internal/node/reason.go
+++ b/internal/node/reason.go
@@ -24,13 +24,15 @@
 	Quit          Reason = "quit"                 // the client said so
 	Idle          Reason = "idle"                 // nothing was open on it for long
 	LoginTimeout  Reason = "login_timeout"        // the client did not log in in time
+	ReadTimeout   Reason = "read_timeout"         // the client began a message and did not end it in time
 	Denied        Reason = "access_denied"        // wrong user, password or database
 	Malformed     Reason = "malformed"            // bytes that can't be read: sync is lost
 	TooLarge      Reason = "too_large"            // a message over its limit
 	BufferFull    Reason = "buffer_full"          // the other side does not take what it is sent
 	WriteTimeout  Reason = "write_timeout"        // a write or what waited for it was overdue
 	Killed        Reason = "killed"               // a client killed it, or it asked too much ahead
-	TooMany       Reason = "too_many_connections" // no descriptor to spare for it
+	MadeRoom      Reason = "made_room"            // a client that said nothing, while there were too many
+	TooMany       Reason = "too_many_connections" // there were too many, and all were busy
 	ConnectFailed Reason = "connect_failed"       // it never came up
 	EngineGone    Reason = "engine_gone"          // its engine left, restarted or lost its address
 	Retired       Reason = "retired"              // replaced: silent, or used up
