End engine connections that are of no use at once, and tell second copies from answers

An answer that stops short on an open connection blocked all that was out there (pool.read had no deadline). One reset counted against its engine once for each attempt on it, so that three of them set a good engine aside (control.judge). NaN in an answer would have been learned (resp took any ParseFloat). A silent connection took nothing new but kept what was out. An engine whose address had passed on stayed in the list, and the module kept every engine it ever met; a random probe could be drawn for one long gone.

All of these are closed now, each with a test that was seen to fail without its change. A doubted connection is asked whether it is alive first. Requests that can't be meant (tenant, wait, id in use) are errors.

Tried and dropped: at most 4 attempts on a connection before there is another.

--- a/control/api.go
+++ b/control/api.go
@@ -29,6 +29,7 @@
 type Class struct {
 	Name       string
 	Aim        time.Duration // an answer within it earns the full worth
+	GiveUp     time.Duration // clients wait no longer; 0: not told
 	AimStretch float64       // the aim grows by this times work per thread
 	Worth      float64
 	LateWorth  float64 // part of the worth earned after the aim
@@ -182,6 +183,7 @@
 		Status   Status
 		Took     time.Duration
 		Closed   bool // the query has its final answer
+		Shared   bool // it ended for a reason that another attempt's end has told of already
 		Work     time.Duration
 		MemoryMB float64
 		Report   []float64
--- a/control/control.go
+++ b/control/control.go
@@ -490,7 +490,7 @@
 		q.line.restTo = max(q.line.restTo, c.now+c.set.Rules.KeyRest)
 	}
 	c.reported(e, ev.Report)
-	if !a.lost || ev.Status != TimedOut {
+	if !ev.Shared && (!a.lost || ev.Status != TimedOut) {
 		c.judge(e, ev.Status)
 	}
 	if ev.Status == OK {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -879,3 +879,41 @@
 		t.Fatalf("aim in %v, want it as set: clients stay", got)
 	}
 }
+
+// Seen on a day with bad peers: one reset ended all that was out on its connection, and each end counted against
+// the engine as one of its own, so that a good engine was set aside.
+func TestWhatEndsTogetherCountsOnce(t *testing.T) {
+	for shared, down := range map[bool]bool{true: false, false: true} {
+		r := newRig(t, base(), eng("e1"), eng("e2"))
+		for i := range 8 {
+			r.feed(Arrival{Query{ID: fmt.Sprint(i), Class: "quick", Tenant: "t0", Deadline: r.now + time.Second}})
+		}
+		sent := map[string][]Send{}
+		for _, a := range r.all {
+			if s, ok := a.(Send); ok {
+				sent[s.Engine] = append(sent[s.Engine], s)
+			}
+		}
+		for i, s := range sent["e1"] {
+			r.feed(Attempt{Query: s.Query, Engine: "e1", Status: Reset, Shared: shared && i > 0})
+		}
+		if len(sent["e1"]) < 3 || r.c.engineOf["e1"].down != down {
+			t.Errorf("shared %v: %d were out, down is %v", shared, len(sent["e1"]), !down)
+		}
+	}
+}
+
+// Guards against records that add up where engines are replaced by new ones all day.
+func TestEnginesThatAreGoneAreForgotten(t *testing.T) {
+	r := newRig(t, base(), eng("e0"))
+	for i := range 20 {
+		old, fresh := eng(fmt.Sprintf("e%d", i)), eng(fmt.Sprintf("e%d", i+1))
+		old.State = Gone
+		r.c.log("down "+old.ID, "noted")
+		r.feed(List{Engines: []Engine{old, fresh}})
+		r.run(2 * interval)
+	}
+	if len(r.c.engines) != 1 || len(r.c.engineOf) != 1 || len(r.c.loggedAt) != 0 {
+		t.Fatalf("%d engines, %d by name, %d lines are remembered", len(r.c.engines), len(r.c.engineOf), len(r.c.loggedAt))
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -504,6 +504,7 @@
 // resize sums up after a change of engines: whether most look bad, when the belief is probably wrong, and
 // the pool's size.
 func (c *Controller) resize() {
+	c.bury()
 	cores, memory, well, ready := 0.0, 0.0, 0, len(c.engines)
 	for _, e := range c.engines {
 		switch {
@@ -564,6 +565,20 @@
 	c.resize()
 }
 
+// bury lets go of engines that are gone, once nothing is out at them. Guards against records that add up where
+// engines are replaced all day, and against probes that are drawn for those that are gone.
+func (c *Controller) bury() {
+	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool {
+		if e.listed || len(e.attempts) > 0 || e.queue.n > 0 {
+			return false
+		}
+		delete(c.engineOf, e.ID)
+		delete(c.loggedAt, "down "+e.ID)
+		delete(c.loggedAt, "back "+e.ID)
+		return true
+	})
+}
+
 // lots are what has a queue and a bound: each engine, or the pool.
 func (c *Controller) lots() []*engine {
 	if c.pool != nil {
--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -80,11 +80,13 @@
 		Number  int
 		Body    []byte
 	}
-	// Ended says how an attempt ended without a result. Status proves that it never ran, or does not.
+	// Ended says how an attempt ended without a result. Status proves that it never ran, or does not. Shared says
+	// that it ended with its connection, of which another attempt tells.
 	Ended struct {
 		Attempt Attempt
 		Status  control.Status
 		Report  []float64
+		Shared  bool
 	}
 	// Probed is the answer to a probe, or its failure.
 	Probed struct {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"wheatlane/control"
 	"wheatlane/internal/changelog"
@@ -15,10 +16,13 @@
 const (
 	// MostResult is the largest result, in bytes of its pages together.
 	MostResult = 48000
-	columns    = 3 // of every row
+	columns    = 3    // of every row
+	mostPage   = 6000 // bytes
+	mostPages  = 64   // engines fill them: two that follow each other hold more than one has room for
 
 	pageTimeout  = 500 * time.Millisecond // for each page: a silent engine is given up after it
 	probeTimeout = 250 * time.Millisecond
+	allowSlack   = time.Second           // clients give up within their class's time; more than that is no figure of theirs
 	settle       = 10 * time.Millisecond // a word to an engine is there by then
 )
 
@@ -32,6 +36,7 @@
 
 	sessions sessions
 	requests map[uint64]*request
+	refs     map[string]bool // the clients' ids of requests
 	nextID   uint64
 	open     int // requests that are owed an answer
 
@@ -39,12 +44,14 @@
 	ready   int // engines in service
 	seq     int64
 
-	probes  map[uint64]probe
-	trains  map[string]*train // by order key
-	classes map[string]control.Class
-	timers  timers
-	ordinal uint64
-	stopped bool
+	probes      map[uint64]probe
+	trains      map[string]*train // by order key
+	sweepTrains int               // so many trains, and those that are over go
+	classes     map[string]control.Class
+	tenants     map[string]bool
+	timers      timers
+	ordinal     uint64
+	stopped     bool
 }
 
 type request struct {
@@ -83,12 +90,15 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Broker{decide: c, round: set.Round, sessions: newSessions(mostSessions), requests: map[uint64]*request{},
+	b := &Broker{decide: c, round: set.Round, sessions: newSessions(mostSessions), requests: map[uint64]*request{}, refs: map[string]bool{},
 		engines: map[string]changelog.Host{}, probes: map[uint64]probe{}, trains: map[string]*train{},
-		classes: map[string]control.Class{}}
+		classes: map[string]control.Class{}, tenants: map[string]bool{}, sweepTrains: fewTrains}
 	for _, k := range set.Classes {
 		b.classes[k.Name] = k
 	}
+	for _, t := range set.Tenants {
+		b.tenants[t.Name] = true
+	}
 	return b, nil
 }
 
@@ -200,19 +210,29 @@
 // submit takes a request; false if its fields can't be used.
 func (b *Broker) submit(s *session, ev Submit) bool {
 	k, known := b.classes[ev.Request.Class]
+	bad := ""
 	switch {
 	case !known:
-		b.reply(ev.Session, Reply{Kind: BadFields, Text: "no such class"})
-		return false
+		bad = "no such class"
+	case len(b.tenants) > 0 && !b.tenants[ev.Request.Tenant]:
+		bad = "no such tenant"
+	case k.GiveUp > 0 && ev.Request.Allow > k.GiveUp+allowSlack:
+		bad = "the class has no such time to wait"
 	case k.Effect == control.Keyed && ev.Request.Idem == "":
 		// Without it an engine could not drop a repeat, and the effect might come twice.
-		b.reply(ev.Session, Reply{Kind: BadFields, Text: "the class needs an idempotency key"})
+		bad = "the class needs an idempotency key"
+	case b.refs[ev.Request.Ref]:
+		// Guards against an answer that passes for another's, as engines know a request by this id alone.
+		bad = "the id of the request is in use"
+	}
+	if bad != "" {
+		b.reply(ev.Session, Reply{Kind: BadFields, Text: bad})
 		return false
 	}
 	b.nextID++
 	r := &request{Request: ev.Request, id: b.nextID, name: strconv.FormatUint(b.nextID, 10), session: ev.Session,
 		deadline: b.waitsFrom(ev.Request) + ev.Request.Allow, priority: 1}
-	b.requests[r.id] = r
+	b.requests[r.id], b.refs[r.Ref] = r, true
 	s.open = r
 	b.open++
 	b.tell(arrival{sent: r.Sent, Arrival: control.Arrival{Query: control.Query{ID: r.name, Class: r.Class, Tenant: r.Tenant,
@@ -232,7 +252,7 @@
 	keyGap      = 60 * time.Millisecond
 	freshKeyGap = 250 * time.Millisecond
 	gapSlack    = 15 * time.Millisecond
-	mostTrains  = 1024 // keys remembered before those that are over are dropped
+	fewTrains   = 32 // keys remembered before those that are over are looked for
 )
 
 // waitsFrom is when a client's wait for a request may have begun. Clients hold a request back while another
@@ -245,8 +265,9 @@
 	}
 	t := b.trains[r.Order]
 	if t == nil || !t.holds(r.Sent) {
-		if len(b.trains) >= mostTrains {
+		if len(b.trains) >= b.sweepTrains { // keys are new every day, so those that are over must go
 			maps.DeleteFunc(b.trains, func(_ string, t *train) bool { return !t.holds(r.Sent) })
+			b.sweepTrains = max(fewTrains, 2*len(b.trains))
 		}
 		t = &train{start: r.Sent}
 		b.trains[r.Order] = t
@@ -295,6 +316,7 @@
 func (b *Broker) forget(r *request) {
 	if r.over && !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.out }) {
 		delete(b.requests, r.id)
+		delete(b.refs, r.Ref)
 	}
 }
 
@@ -416,7 +438,7 @@
 		b.after(now+settle, func(now time.Duration) { b.end(now, a, control.Attempt{Status: status, Report: ev.Report}) })
 		return
 	}
-	b.end(now, a, control.Attempt{Status: status, Report: ev.Report})
+	b.end(now, a, control.Attempt{Status: status, Report: ev.Report, Shared: ev.Shared})
 }
 
 // served takes a good end at the engine. It counts only once every page is in, so that an engine that dies
@@ -426,12 +448,12 @@
 	if a == nil || a.ending != control.OK || a.served != nil {
 		return
 	}
-	if ev.Pages < 1 || ev.Pages > MostResult || !whole(ev.Body) {
+	if ev.Pages < 1 || ev.Pages > mostPages || !whole(ev.Body) {
 		b.broken(now, a, "a result that can't be read")
 		return
 	}
 	a.served, a.pages, a.missing, a.size = &ev, make([][]byte, ev.Pages), ev.Pages-1, len(ev.Body)
-	a.pages[0] = ev.Body
+	a.pages[0] = notNil(ev.Body)
 	if a.missing == 0 {
 		b.complete(now, a)
 		return
@@ -459,19 +481,34 @@
 	if a == nil || a.ending != control.OK || a.served == nil {
 		return
 	}
+	if ev.Number >= 0 && ev.Number < len(a.pages) && a.pages[ev.Number] != nil && bytes.Equal(a.pages[ev.Number], ev.Body) {
+		return // a second copy
+	}
 	a.size += len(ev.Body)
 	if ev.Number < 1 || ev.Number >= len(a.pages) || a.pages[ev.Number] != nil || !whole(ev.Body) || a.size > MostResult {
 		b.broken(now, a, "a page that can't be read")
 		return
 	}
-	a.pages[ev.Number] = ev.Body
+	a.pages[ev.Number] = notNil(ev.Body)
 	if a.missing--; a.missing == 0 {
 		b.complete(now, a)
 	}
 }
 
-// whole tells whether a page holds whole rows.
+// notNil tells an empty page from one that has not come.
+func notNil(page []byte) []byte {
+	if page == nil {
+		return []byte{}
+	}
+	return page
+}
+
+// whole tells whether a page is text in whole rows, as an engine sends it. Guards against a spoilt one passing
+// for a result.
 func whole(page []byte) bool {
+	if len(page) > mostPage || !utf8.Valid(page) {
+		return false
+	}
 	for len(page) > 0 {
 		row, rest, ok := bytes.Cut(page, []byte{'\n'})
 		if !ok || bytes.Count(row, []byte{'\t'}) != columns-1 {
@@ -540,7 +577,9 @@
 			}
 		}
 		for _, h := range c.Hosts {
-			b.host(h)
+			for _, id := range b.host(h) {
+				list.Engines = append(list.Engines, control.Engine{ID: id, State: control.Gone})
+			}
 			list.Engines = append(list.Engines, h.Engine)
 		}
 		b.tell(list)
@@ -554,12 +593,15 @@
 	}
 }
 
-func (b *Broker) host(h changelog.Host) {
+// host takes what the change log says of an engine, and returns those that must be gone as it has their address.
+func (b *Broker) host(h changelog.Host) (replaced []string) {
 	for _, id := range b.hosts() {
 		// Guards against answers of an engine that is gone being taken for those of the one that has its
 		// address now, and against work that goes to the wrong one.
 		if o := b.engines[id]; id != h.ID && o.Addr == h.Addr && h.State != control.Gone {
 			b.do(DropEngine{id})
+			delete(b.engines, id)
+			replaced = append(replaced, id)
 		}
 	}
 	old, listed := b.engines[h.ID]
@@ -574,6 +616,7 @@
 	} else {
 		b.engines[h.ID] = h
 	}
+	return replaced
 }
 
 // hosts are the engines in a fixed order.
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -125,11 +126,28 @@
 		}, nil, 2, 0},
 		"half a row":     {func(a Attempt) []Event { return []Event{Served{Attempt: a, Pages: 1, Body: []byte("a\tb")}} }, nil, 2, 1},
 		"a column short": {func(a Attempt) []Event { return []Event{Served{Attempt: a, Pages: 1, Body: []byte("a\tb\n")}} }, nil, 2, 1},
-		"a page twice": {func(a Attempt) []Event {
-			return []Event{Served{Attempt: a, Pages: 3, Body: row}, Page{a, 1, row}, Page{a, 1, row}}
+		"second copies": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: 3, Body: row}, Page{a, 1, nil}, Page{a, 1, nil}, Page{a, 0, row},
+				Served{Attempt: a, Pages: 1, Body: row}, Page{a, 2, row}}
+		}, []Kind{Result}, 1, 0},
+		"two pages of one number": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: 3, Body: row}, Page{a, 1, row}, Page{a, 1, nil}}
+		}, nil, 2, 1},
+		"not text": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: 1, Body: []byte("a\tb\xff\tc\n")}}
+		}, nil, 2, 1},
+		"a page too long": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: 1, Body: bytes.Repeat(row, mostPage/len(row)+1)}}
+		}, nil, 2, 1},
+		"too many pages": {func(a Attempt) []Event {
+			return []Event{Served{Attempt: a, Pages: mostPages + 1, Body: row}}
 		}, nil, 2, 1},
 		"too large": {func(a Attempt) []Event {
-			return []Event{Served{Attempt: a, Pages: 2, Body: row}, Page{a, 1, append(make([]byte, MostResult), row...)}}
+			events := []Event{Served{Attempt: a, Pages: 10}}
+			for n := range 9 {
+				events = append(events, Page{a, n + 1, bytes.Repeat(row, mostPage/len(row))})
+			}
+			return events
 		}, nil, 2, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -328,6 +346,89 @@
 	}
 }
 
+// An engine whose address passes to another is gone: guards against sends to it that would reach the new one,
+// which may be cold.
+func TestAnAddressPassesOn(t *testing.T) {
+	r := newRig(t, host("e1", "127.0.0.1:1", control.Ready))
+	r.b.Apply(r.now, Changes{changelog.Page{Seq: 2, Changes: []changelog.Change{{Seq: 2, Hosts: []changelog.Host{
+		host("e2", "127.0.0.1:1", control.Ready)}}}}})
+	told := r.b.pending[len(r.b.pending)-1]
+	if diff := cmp.Diff(control.List{Engines: []control.Engine{{ID: "e1", State: control.Gone}, {ID: "e2", Kind: "std"}}}, told); diff != "" {
+		t.Fatal(diff)
+	}
+	for id := range Session(5) {
+		r.submit(id+1, "lookup", "", time.Second)
+	}
+	for _, w := range of[Want](r.run(50 * ms)) {
+		if w.Engine != "e2" {
+			t.Fatalf("%s got work at the address of e2", w.Engine)
+		}
+	}
+	if n := len(of[Want](r.got)); n != 5 {
+		t.Fatalf("%d were sent, want 5", n)
+	}
+}
+
+// A request that can't be meant is an error, and its session goes on.
+func TestRequestsThatCannotBeMeant(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(r *Request)
+		want   Kind
+	}{
+		"good":              {func(r *Request) {}, Result},
+		"class":             {func(r *Request) { r.Class = "nonsense" }, BadFields},
+		"tenant":            {func(r *Request) { r.Tenant = "nobody" }, BadFields},
+		"time to wait":      {func(r *Request) { r.Allow = time.Hour }, BadFields},
+		"no key":            {func(r *Request) { r.Class = "load"; r.Idem = "" }, BadFields},
+		"id of an open one": {func(r *Request) { r.Ref = "open" }, BadFields},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set := settings()
+			set.Tenants = []control.Tenant{{Name: "acme", Share: 1}}
+			set.Classes[0].GiveUp = 2 * time.Second
+			b, err := New(set, 1, 100)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &rig{t: t, b: b, now: start}
+			r.apply(Connected{1}, LoggedIn{1}, Connected{2}, LoggedIn{2}, Changes{changelog.Page{Seq: 1, Changes: []changelog.Change{
+				{Seq: 1, Whole: true, Hosts: []changelog.Host{host("e1", "127.0.0.1:1", control.Ready)}}}}})
+			good := Request{Ref: "open", Class: "lookup", Tenant: "acme", Idem: "op", Sent: r.now, Allow: 2 * time.Second}
+			r.apply(Submit{1, good})
+			r.run(10 * ms)
+			first := of[Want](r.got)[0]
+			next := good
+			next.Ref = "next"
+			c.change(&next)
+			r.apply(Submit{2, next})
+			r.run(10 * ms)
+			if wants := of[Want](r.got); c.want == Result {
+				r.apply(Served{Attempt: wants[1].Attempt, Pages: 1})
+			}
+			r.wantKinds(c.want)
+			r.apply(Served{Attempt: first.Attempt, Pages: 1}, Submit{1, good}) // over, so its id is free
+			r.wantKinds(c.want, Result)
+			if b.Open() != 1 {
+				t.Fatalf("%d are open, want 1", b.Open())
+			}
+		})
+	}
+}
+
+// Guards against memory that grows where order keys are always new.
+func TestKeysDoNotAddUp(t *testing.T) {
+	b, err := New(settings(), 1, 100)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range 10 * fewTrains {
+		b.waitsFrom(Request{Order: fmt.Sprint(n), Sent: start + time.Duration(n)*time.Second})
+	}
+	if len(b.trains) > fewTrains {
+		t.Fatalf("%d keys are remembered", len(b.trains))
+	}
+}
+
 // What a session asks is answered in order, also what comes ahead of an answer.
 func TestSessionsAnswerInOrder(t *testing.T) {
 	r := newRig(t, host("e1", "127.0.0.1:1", control.Ready))
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -141,7 +141,7 @@
 			return s, fmt.Errorf("settings.RequestClasses[%d].KeyScope: unknown scope %q", i, c.KeyScope)
 		}
 		s.LongestGiveUp = max(s.LongestGiveUp, c.GiveUpNs)
-		s.Control.Classes = append(s.Control.Classes, control.Class{Name: c.Name, Aim: c.PromiseNs,
+		s.Control.Classes = append(s.Control.Classes, control.Class{Name: c.Name, Aim: c.PromiseNs, GiveUp: c.GiveUpNs,
 			AimStretch: c.AimStretch, Worth: c.Worth, LateWorth: c.LateWorth, Effect: effect, Scope: scope,
 			Window: c.WindowNs, Ordered: c.ByArrival, Zones: c.AllowedIn, Kinds: c.AllowedOn,
 			Threads: at(o.Domain.WidthByClass, i), Load: at(o.Domain.ClassLoad, i),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,6 +156,8 @@
 		behind = false
 		n.carryOut(n.b.Tick(now()))
 		n.settle()
+		n.pool.judge()
+		n.settle()
 		if time.Since(n.sweptAt) > sweepEvery {
 			n.sweptAt = time.Now()
 			n.pool.sweep()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -660,20 +660,93 @@
 	}
 }
 
-// An engine whose machine vanished leaves its connection open and silent. Once an attempt was given up there,
-// the next goes to a new connection, which would not come up.
-func TestASilentConnectionIsReplaced(t *testing.T) {
+// An answer that stops short on a connection that stays open costs all that is out there, and no more time than an
+// answer may take to come. What is safe to repeat is, on another connection.
+func TestAnAnswerThatStopsShort(t *testing.T) {
 	e := newEngine(t)
 	s := serve(t, host("e1", e.addr, "in_service", 0))
-	s.dial(query("lookup", 1, 3*time.Second, "")).want("1226")
-	e.next(t, "want")
-	e.next(t, "never_mind")
-	next(t, e.closed, "the end of the silent connection")
-	if got := s.reasons(e.addr); got != string(Retired) {
+	a, b := s.dial(query("load", 1, long, "")), s.dial(query("load", 2, long, ""))
+	first, second := e.next(t, "want"), e.next(t, "want")
+	if first.conn != second.conn {
+		t.Fatal("they are on two connections")
+	}
+	second.conn.Write(resp.Append(nil, second.id(), "OK", "sheets=1", "x\ty\tz\n")[:40])
+	next(t, e.closed, "the end of the connection")
+	for range 2 {
+		w := e.next(t, "want")
+		w.reply(w.id(), "OK", "sheets=1", "x\ty\tz\n")
+	}
+	a.want("rows x|y|z|")
+	b.want("rows x|y|z|")
+	if got := s.reasons(e.addr); got != string(Stalled) {
 		t.Fatalf("it ended as %s", got)
 	}
 }
 
+// A second copy of an answer, or one for an id that nobody knows, changes nothing; above all it is none for the
+// next attempt of its request.
+func TestSecondCopies(t *testing.T) {
+	e := newEngine(t)
+	s := serve(t, host("e1", e.addr, "in_service", 0))
+	c := s.dial(query("lookup", 1, long, ""))
+	first := e.next(t, "want")
+	first.reply("00000000000000ff", "OK", "sheets=1", "no\tno\tno\n")
+	first.reply(first.id(), "ERR", "-", "")
+	again := e.next(t, "want")
+	first.reply(first.id(), "ERR", "-", "")
+	first.reply(first.id(), "OK", "sheets=1", "no\tno\tno\n")
+	again.reply(again.id(), "OK", "sheets=1", "x\ty\tz\n")
+	again.reply(again.id(), "OK", "sheets=1", "x\ty\tz\n")
+	c.want("rows x|y|z|")
+	c.nc.Write(packet(0, "\x0e"))
+	c.want("ok") // no second answer came in between
+	if first.conn == again.conn {
+		t.Fatal("an id was twice on one connection")
+	}
+}
+
+// An engine whose machine vanished, or that stops answering for good, leaves its connection open and silent. Once
+// an attempt was given up there it is asked whether it is alive; if it says nothing, all that is out there ends, and
+// the next goes to a new connection. One that answers is kept.
+func TestASilentConnectionIsReplaced(t *testing.T) {
+	for name, alive := range map[string]bool{"alive": true, "silent": false} {
+		t.Run(name, func(t *testing.T) {
+			e := newEngine(t)
+			s := serve(t, host("e1", e.addr, "in_service", 0))
+			a := s.dial(query("load", 1, long, ""))
+			kept := e.next(t, "want")
+			s.dial(query("lookup", 2, 3*time.Second, "")).want("1226")
+			if w := e.next(t, "want"); w.conn != kept.conn {
+				t.Fatal("they are on two connections")
+			}
+			e.next(t, "never_mind")
+			if asked := e.next(t, "there"); alive {
+				asked.reply(asked.id(), "UP", "-", "")
+				asked.reply(kept.id(), "OK", "sheets=1", "x\ty\tz\n")
+				a.want("rows x|y|z|")
+				b := s.dial(query("load", 3, long, ""))
+				w := e.next(t, "want")
+				w.reply(w.id(), "OK", "sheets=1", "x\ty\tz\n")
+				b.want("rows x|y|z|")
+				if w.conn != kept.conn {
+					t.Fatal("a connection that is alive was replaced")
+				}
+				return
+			}
+			next(t, e.closed, "the end of the silent connection")
+			w := e.next(t, "want")
+			if w.id() != kept.id() || w.conn == kept.conn {
+				t.Fatal("what was out there was not sent again")
+			}
+			w.reply(w.id(), "OK", "sheets=1", "x\ty\tz\n")
+			a.want("rows x|y|z|")
+			if got := s.reasons(e.addr); got != string(Retired) {
+				t.Fatalf("it ended as %s", got)
+			}
+		})
+	}
+}
+
 // Connections to engines that are idle are closed from this side, before the engines do.
 func TestIdleEngineConnectionsClose(t *testing.T) {
 	e := newEngine(t)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -19,20 +20,25 @@
 	engineOut    = 1 << 20
 	engineShare  = 4                      // connections to engines get the limit of sockets over this at the most
 	perEngine    = 8                      // connections to one engine
-	mostGivenUp  = 1024                   // ids given up on one connection before it is replaced
+	mostSpent    = 1024                   // ids that are spent on one connection before it is replaced
+	stallWait    = 200 * time.Millisecond // an answer that has begun is whole by then
+	lastLook     = 10 * time.Millisecond  // what came while the process stood still is read before that is judged
 	idlePart     = 0.6                    // of the engines' limit on idle time: ours close first
 	silentFor    = 500 * time.Millisecond // the module takes 600 ms at least to call an attempt lost
 	oldestProbe  = time.Second
-	probeMark    = "p" // ahead of a probe's tag; ids of requests are hex digits
-	standardRank = 1   // the priority that an engine takes when none is named
+	doubtFor     = 250 * time.Millisecond // an engine that is asked whether it is there says so by then
+	probeMark    = "p"                    // ahead of a probe's tag; ids of requests are hex digits
+	doubtMark    = "t"                    // the tag under which that is asked
+	standardRank = 1                      // the priority that an engine takes when none is named
 )
 
 // pool holds the connections to engines and what is out on them. The goroutine of the reducer owns it.
 type pool struct {
-	n     *Node
-	conns map[string][]*upstream // by engine
-	count int
-	out   map[broker.Attempt]*stream
+	n       *Node
+	conns   map[string][]*upstream // by engine
+	count   int
+	doubted []*upstream // asked whether they are alive
+	out     map[broker.Attempt]*stream
 }
 
 // upstream is a connection to an engine, or one that is coming up.
@@ -40,12 +46,13 @@
 	engine, addr string
 	link         *link // nil while it comes up
 	cancel       context.CancelFunc
-	why          *ended             // why it was closed from here
-	streams      map[string]*stream // by id on the wire
-	givenUp      map[string]bool    // ids that may still be answered
-	retired      bool               // takes nothing new
+	why          *ended               // why it was closed from here
+	streams      map[string]*stream   // by id on the wire
+	spent        map[string]time.Time // ids that may be answered though nothing waits for that, and since when
+	retired      bool                 // takes nothing new
 	gone         bool
 	used, heard  time.Time
+	doubtAt      time.Time // when it was asked whether it is alive; zero: it is, as far as is known
 }
 
 // stream is an attempt or a probe on its connection.
@@ -95,7 +102,9 @@
 	var c *upstream
 	for _, o := range p.conns[engine] {
 		// An id may be on a connection once only: an answer for the attempt before could not be told apart.
-		if o.retired || o.addr != addr || len(o.streams) >= p.n.cfg.Settings.MaxStreams || o.givenUp[s.id] || o.streams[s.id] != nil {
+		_, spent := o.spent[s.id]
+		if spent || o.streams[s.id] != nil || o.retired || !o.doubtAt.IsZero() || o.addr != addr ||
+			len(o.streams) >= p.n.cfg.Settings.MaxStreams {
 			continue
 		}
 		if c = o; c.link != nil {
@@ -138,7 +147,7 @@
 func (p *pool) dial(engine, addr string) *upstream {
 	n := p.n
 	ctx, cancel := context.WithCancel(n.ctx)
-	c := &upstream{engine: engine, addr: addr, cancel: cancel, streams: map[string]*stream{}, givenUp: map[string]bool{}}
+	c := &upstream{engine: engine, addr: addr, cancel: cancel, streams: map[string]*stream{}, spent: map[string]time.Time{}}
 	p.conns[engine] = append(p.conns[engine], c)
 	p.count++
 	n.group.Go(func() error {
@@ -168,12 +177,7 @@
 		return
 	}
 	c.link = l
-	waiting := make([]*stream, 0, len(c.streams))
-	for _, s := range c.streams {
-		waiting = append(waiting, s)
-	}
-	slices.SortFunc(waiting, func(a, b *stream) int { return a.at.Compare(b.at) })
-	for _, s := range waiting {
+	for _, s := range slices.SortedFunc(maps.Values(c.streams), func(a, b *stream) int { return a.at.Compare(b.at) }) {
 		if !s.done {
 			p.send(s)
 		}
@@ -206,17 +210,21 @@
 	if c.link != nil {
 		left = c.link.left()
 	}
-	for _, s := range c.streams {
+	streams := slices.SortedFunc(maps.Values(c.streams), func(a, b *stream) int { return a.at.Compare(b.at) })
+	clear(c.streams)
+	shared := false // one end is enough to tell of the engine: all of them are of one cause
+	for _, s := range streams {
 		switch {
 		case s.ending: // the end of its connection tells the engine as well
 			p.end(s, control.Cancelled)
+			continue
 		case s.start >= left || s.message != nil: // not one byte left: it never ran
-			p.end(s, control.ConnectFailed)
+			p.lost(s, control.ConnectFailed, shared)
 		default:
-			p.end(s, control.Reset)
+			p.lost(s, control.Reset, shared)
 		}
+		shared = shared || s.tag == 0
 	}
-	clear(c.streams)
 }
 
 // remove takes a stream off its connection.
@@ -228,7 +236,10 @@
 }
 
 // end tells the reducer how a stream ended.
-func (p *pool) end(s *stream, status control.Status) {
+func (p *pool) end(s *stream, status control.Status) { p.lost(s, status, false) }
+
+// lost does the same of a stream that ended with its connection; shared, if another has told of that.
+func (p *pool) lost(s *stream, status control.Status, shared bool) {
 	if s.done {
 		return
 	}
@@ -238,7 +249,7 @@
 		return
 	}
 	delete(p.out, s.attempt)
-	p.n.later(broker.Ended{Attempt: s.attempt, Status: status})
+	p.n.later(broker.Ended{Attempt: s.attempt, Status: status, Shared: shared})
 }
 
 // giveUp calls an attempt off. It ends once the engine's connection has taken the word.
@@ -276,20 +287,39 @@
 // disown takes a stream off its connection whose answer may still come.
 func (p *pool) disown(s *stream) {
 	c := s.c
-	c.givenUp[s.id] = true
-	c.retired = c.retired || len(c.givenUp) >= mostGivenUp
+	c.spent[s.id] = time.Now()
+	c.retired = c.retired || len(c.spent) >= mostSpent
 	p.remove(s)
 }
 
-// doubt retires a connection on which nothing came since an attempt that is given up was sent. Guards
-// against engines whose machine vanished: an old connection stays open and silent, a new one never comes up,
-// which proves that nothing ran.
+// doubt asks whether a connection is alive on which nothing came since an attempt that is given up was sent. It
+// takes nothing new until a word comes. Guards against engines whose machine vanished and answers that stop for
+// good: such a connection stays open and silent, while a new one comes up or proves that nothing ran.
 func (p *pool) doubt(c *upstream, s *stream) {
-	if time.Since(s.at) > silentFor && c.heard.Before(s.at) {
-		c.retired = true
+	if c.doubtAt.IsZero() && time.Since(s.at) > silentFor && c.heard.Before(s.at) {
+		c.doubtAt = time.Now()
+		p.doubted = append(p.doubted, c)
+		p.say(c, "there", doubtMark)
 	}
 }
 
+// judge closes the connections that were asked whether they are alive and said nothing: all that is out on them
+// ends.
+func (p *pool) judge() {
+	p.doubted = slices.DeleteFunc(p.doubted, func(c *upstream) bool {
+		switch {
+		case c.gone:
+		case c.heard.After(c.doubtAt):
+			c.doubtAt = time.Time{}
+		case time.Since(c.doubtAt) > doubtFor:
+			p.close(c, Retired)
+		default:
+			return false
+		}
+		return true
+	})
+}
+
 func (p *pool) turn(e broker.Turn) {
 	if s := p.out[e.Attempt]; s != nil && s.c.link != nil {
 		p.say(s.c, "turn", s.id, strconv.Itoa(e.Page))
@@ -354,6 +384,10 @@
 					p.disown(s)
 				}
 			}
+			// An id is not sent again once its client has given up, so that it need not be told apart then.
+			maps.DeleteFunc(c.spent, func(_ string, at time.Time) bool {
+				return now.Sub(at) > p.n.cfg.Settings.LongestGiveUp
+			})
 			if !c.gone && len(c.streams) == 0 && (c.retired || now.Sub(c.used) > limit) {
 				p.close(c, Idle)
 			}
@@ -363,8 +397,19 @@
 
 // read hands on what an engine says.
 func (p *pool) read(ctx context.Context, c *upstream, l *link) error {
+	begun, looked := false, false // an answer, and at what came after its time
 	for {
-		if _, err := l.in.ReadOnce(l.nc); err != nil {
+		_, err := l.in.ReadOnce(l.nc)
+		switch {
+		case err != nil && isTimeout(err) && !looked:
+			looked = true
+			if err := l.nc.SetReadDeadline(time.Now().Add(lastLook)); err != nil {
+				return err
+			}
+			continue
+		case err != nil && isTimeout(err):
+			return &ended{Stalled, err}
+		case err != nil:
 			return err
 		}
 		var answers []resp.Answer
@@ -384,6 +429,18 @@
 			answers = append(answers, a)
 			l.in.Discard(size)
 		}
+		// Guards against an answer that stops short on a connection that stays open: all that is out there would
+		// wait for nothing.
+		switch part := l.in.Len() > 0; {
+		case !part && begun:
+			err = l.nc.SetReadDeadline(time.Time{})
+		case part && (!begun || len(answers) > 0):
+			err = l.nc.SetReadDeadline(time.Now().Add(stallWait))
+		}
+		if err != nil {
+			return err
+		}
+		begun, looked = l.in.Len() > 0, looked && len(answers) == 0
 		if len(answers) > 0 {
 			p.n.post(ctx, func() {
 				c.heard = time.Now()
@@ -426,7 +483,7 @@
 		}
 		s.done = true
 		delete(p.out, s.attempt)
-		p.remove(s)
+		p.disown(s) // a second copy must not pass for the answer to the next attempt
 		p.n.apply(broker.Ended{Attempt: s.attempt, Status: status, Report: report})
 	}
 }
--- a/internal/node/reason.go
+++ b/internal/node/reason.go
@@ -35,6 +35,7 @@
 	TooMany       Reason = "too_many_connections" // there were too many, and all were busy
 	ConnectFailed Reason = "connect_failed"       // it never came up
 	EngineGone    Reason = "engine_gone"          // its engine left, restarted or lost its address
+	Stalled       Reason = "stalled"              // an answer began on it and did not end in time
 	Retired       Reason = "retired"              // replaced: silent, or used up
 	Silent        Reason = "silent"               // no answer of the change log in its time
 	Moved         Reason = "moved"                // the configuration names another address for the change log
--- a/internal/resp/resp.go
+++ b/internal/resp/resp.go
@@ -19,6 +19,8 @@
 const (
 	mostParts = 8
 	mostBulk  = 64 << 10
+	// mostFigure is more than any work in milliseconds, memory in MB or load that an answer can tell.
+	mostFigure = 1e9
 	// MostMessage bounds a message, so that a buffer of this size always holds a whole one or shows an error.
 	MostMessage = 96 << 10
 )
@@ -145,9 +147,9 @@
 		case "sheet":
 			a.Sheet, err = strconv.Atoi(value)
 		case "toil":
-			a.WorkMS, err = strconv.ParseFloat(value, 64)
+			a.WorkMS, err = figure(value)
 		case "room":
-			a.RoomMB, err = strconv.ParseFloat(value, 64)
+			a.RoomMB, err = figure(value)
 		case "l":
 			a.Load = value
 		}
@@ -158,6 +160,16 @@
 	return a, nil
 }
 
+// figure reads a number that can be reckoned with. Guards against a spoilt answer from which nonsense would be
+// learned for good, as NaN spreads to every mean that it goes into.
+func figure(value string) (float64, error) {
+	v, err := strconv.ParseFloat(value, 64)
+	if err == nil && !(v >= 0 && v <= mostFigure) {
+		err = fmt.Errorf("%w: figure %.20q", ErrMalformed, value)
+	}
+	return v, err
+}
+
 // Report reads a load report into the order of the fields that the settings name; nil if one is missing.
 func Report(load string, fields []string) []float64 {
 	if load == "" {
@@ -167,7 +179,7 @@
 	for _, f := range fields {
 		for part := range strings.SplitSeq(load, ";") {
 			if name, value, _ := strings.Cut(part, ":"); name == f {
-				v, err := strconv.ParseFloat(value, 64)
+				v, err := figure(value)
 				if err != nil {
 					return nil
 				}
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -65,6 +65,10 @@
 		"odd word":   {[]string{"7", "WHAT", "-", ""}, Answer{}, true},
 		"odd field":  {[]string{"7", "OK", "sheets", ""}, Answer{}, true},
 		"odd number": {[]string{"7", "OK", "sheets=x", ""}, Answer{}, true},
+		// Guards against figures that would spoil for good whatever is learned from them.
+		"no number":        {[]string{"7", "OK", "sheets=1,toil=NaN", ""}, Answer{}, true},
+		"work without end": {[]string{"7", "OK", "sheets=1,toil=+Inf", ""}, Answer{}, true},
+		"negative memory":  {[]string{"7", "OK", "sheets=1,room=-1", ""}, Answer{}, true},
 	} {
 		var parts [][]byte
 		for _, p := range c.parts {
@@ -81,6 +85,7 @@
 	names := []string{"queue", "x1"}
 	for load, want := range map[string][]float64{
 		"queue:2;x1:0.5": {2, 0.5}, "x1:0.5;new:9;queue:2": {2, 0.5}, "queue:2": nil, "queue:2;x1:?": nil, "": nil,
+		"queue:NaN;x1:0.5": nil, "queue:2;x1:-1": nil, "queue:2;x1:1e300": nil,
 	} {
 		if diff := cmp.Diff(want, Report(load, names)); diff != "" {
 			t.Errorf("%q: %s", load, diff)
