--- a/control/control_test.go
+++ b/control/control_test.go
@@ -925,6 +925,19 @@
 	}
 }
 
+// Seen on a day on which two of five engines were lost: what had been theirs came to the others at once, four times
+// their bounds before pressure showed, and the jam lasted for seconds. In calm an engine takes some bounds, no more.
+func TestWhatOneEngineLosesFloodsNoOther(t *testing.T) {
+	r := newRig(t, base(), eng("e1"))
+	e := r.c.engines[0]
+	for range 100 {
+		r.ask("long", func(q *Query) { q.Deadline = r.now + 20*time.Second })
+	}
+	if most := calmRoom * e.bound; r.c.pressed(e) || float64(e.threads) < e.bound || float64(e.threads) > most {
+		t.Fatalf("%d threads are out, want between the bound of %.1f and %.1f", e.threads, e.bound, most)
+	}
+}
+
 // Guards against records that add up where engines are replaced by new ones all day.
 func TestEnginesThatAreGoneAreForgotten(t *testing.T) {
 	r := newRig(t, base(), eng("e0"))
