--- a/control/control.go
+++ b/control/control.go
@@ -69,7 +69,7 @@
 	poolWeight   = 3.0                    // ours: answers of its own that weigh as much as the pool's
 	rareLoss     = 0.01                   // symptom (lost answers): expected share
 	rareWeight   = 20.0                   // symptom (lost answers): answers this is worth
-	calmRoom     = 2.5                    // symptom (jam): the bound in calm, in bounds: pressure shows late
+	calmRoom     = 2.5                    // symptom (jam): bounds that calm has: pressure shows late
 	surelyLost   = 0.003                  // symptom (lost answers): late beyond this share of answers
 	maybeLost    = 0.3                    // symptom (lost answers): never called lost before this share
 	silentAfter  = 0.5                    // symptom (silence): share lost at which an engine is silent
