Find an answer that never comes on an engine that goes on answering others

In a trace of each engine a second, one engine told a load of 0.25 to 0.3 while 8 of its threads were out for 3 to 24 times their usual age; its bound was squeezed to half and five queries stood behind them. Ruled out: the release of engines that goes on (the others stayed calm and the new one took work in its first second), connections (none stalled or retired, resets few), CPU (0.06 s in the worst second). At fault: control.watch started an attempt's patience anew with every answer of its engine, so that one lost answer was waited for until the client's deadline.

An attempt of four times its patience is lost now. TestALostAnswerIsFoundWhileOthersCome fails without it.

--- a/control/control.go
+++ b/control/control.go
@@ -80,6 +80,7 @@
 	reportLasts  = 5.0                    // ours: seconds in which a report loses most of its weight
 	probeWait    = 4                      // ours: rounds that a query waits for its probes
 	fewLost      = 0.12                   // symptom (lost answers): under it, what answers is not silent
+	hungAt       = 4                      // symptom (lost answers): times its patience that is too long
 	manyLost     = 0.4                    // symptom (jam): when so many look lost, it is a jam
 	spreadGain   = 0.02                   // ours: weight of an answer in the spread of service times
 	firstGuess   = 0.25                   // ours: work before any answer, as a part of the aim
@@ -580,7 +581,7 @@
 		limit = min(limit, seconds(missedNotes*n.Seconds()))
 	}
 	heard := max(a.sent, a.heardAt)
-	if c.loss(a.e) < fewLost { // an engine that answers others is slow, not silent
+	if c.loss(a.e) < fewLost && c.now-a.sent < hungAt*limit { // answers others: slow, not silent
 		heard, limit = max(heard, a.e.heardAt), limit+leastSilence
 	}
 	if left := limit - (c.now - heard); left > 0 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -938,6 +938,27 @@
 	}
 }
 
+// Seen in a recorded incident: two answers never came from an engine that went on answering others, and what was out
+// there held its bound for many seconds. By its age an attempt is lost all the same, and is tried elsewhere.
+func TestALostAnswerIsFoundWhileOthersCome(t *testing.T) {
+	s := base()
+	s.Limits.Cancel = true
+	r := newRig(t, s, eng("e1"))
+	lost, _ := r.ask("long", func(q *Query) { q.Deadline = r.now + 5*time.Minute })
+	sent := r.now
+	for r.now < sent+2*time.Minute {
+		id, _ := r.ask("quick")
+		r.run(50 * ms)
+		r.end(id, 0, OK)
+		for _, a := range r.all {
+			if x, ok := a.(Cancel); ok && x.Query == lost {
+				return
+			}
+		}
+	}
+	t.Fatal("it was waited for while others were answered")
+}
+
 // Guards against records that add up where engines are replaced by new ones all day.
 func TestEnginesThatAreGoneAreForgotten(t *testing.T) {
 	r := newRig(t, base(), eng("e0"))
