Try elsewhere what stands behind a load, tell late answers from lost ones, probe less

Now what is called off after short patience counts as lost by the odds that it is; patience covers 97% of answers at least; a query that stands behind a load is called off, tried elsewhere and not counted as running, and others keep away from there; an engine is probed every 250 ms at the most. Bookkeeping without decisions moved to state.go.

--- a/control/control.go
+++ b/control/control.go
@@ -44,7 +44,7 @@
 	failDown     = 0.6                    // symptom (fast failure): set aside if it fails more
 	failPrice    = 3.0                    // symptom (fast failure): room taken off for failing
 	slowPrice    = 0.3                    // symptom (slowness): room taken off for slowness
-	loadPrice    = 0.7                    // bench page: a load holds up its data set
+	loadPrice    = 3.0                    // bench page: what stands behind a load is late for sure
 	apartPrice   = 1.0                    // bench page: loads keep away from what they hold up
 	crossPrice   = 0.05                   // ours: room taken off for another zone
 	firstTrial   = 500 * time.Millisecond // symptom (silence, failure): first wait before a trial
@@ -71,13 +71,15 @@
 	rareWeight   = 20.0                   // symptom (lost answers): answers this is worth
 	calmRoom     = 2.5                    // symptom (jam): bounds that calm has: pressure shows late
 	surelyLost   = 0.003                  // symptom (lost answers): late beyond this share of answers
-	maybeLost    = 0.3                    // symptom (lost answers): never called lost before this share
+	maybeLost    = 0.03                   // symptom (lost answers): never called lost before this share
 	silentAfter  = 0.5                    // symptom (silence): share lost at which an engine is silent
+	leastStand   = 0.25                   // bench page: part of the aim at which one stands behind a load
 	leastSilence = 600 * time.Millisecond // symptom (silence): never judged sooner
 	missedNotes  = 1.75                   // symptom (silence): times between notes without one
 	poolReport   = 0.1                    // ours: weight of one engine's report in the pool's
 	probes       = 3                      // ours: engines probed for a query
 	reportLasts  = 5.0                    // ours: seconds in which a report loses most of its weight
+	reportAge    = 250 * time.Millisecond // price of probes: a younger report is as good as a new one
 	probeWait    = 4                      // ours: rounds that a query waits for its probes
 	fewLost      = 0.12                   // symptom (lost answers): under it, what answers is not silent
 	hungAt       = 4                      // symptom (lost answers): times its patience that is too long
@@ -118,14 +120,6 @@
 	c.place(q, nil)
 }
 
-// left learns how long clients stay that leave before their time, and how many do.
-func (c *Controller) left(q *query, gone float64) {
-	k := c.classes[q.c]
-	k.leaves += spreadGain * (gone - k.leaves)
-	first := min(1, manyLeave/max(k.leaves, 1e-9)) // while few left, the last one tells most
-	k.stays += gone * max(leaveGain, first) * ((c.now - q.taken).Seconds() - k.stays)
-}
-
 // giveUp ends a query whose time is up or that can't be helped: refused where that is true, else failed.
 func (c *Controller) giveUp(q *query) {
 	if q.closed || q.stream {
@@ -244,18 +238,23 @@
 	// What is more work than the mean query goes to the best of a few engines whose load is asked for.
 	if c.set.Limits.Probing && !q.probed && c.classes[q.c].work > c.meanWork {
 		q.probed = true
+		asked := false
 		for n := 0; n < probes && len(c.engines) > 0; n++ {
 			o := c.engines[c.rng.IntN(len(c.engines))]
-			if o.listed && o.State == Ready && !o.down {
+			young := o.askedAt > 0 && c.now-o.askedAt < reportAge
+			if o.listed && o.State == Ready && !o.down && !young {
+				o.askedAt, asked = c.now, true
 				c.do(Probe{o.ID})
 			}
 		}
-		c.alarm(probeWait*c.set.Round, func() {
-			if !q.closed {
-				c.place(q, not)
-			}
-		})
-		return
+		if asked {
+			c.alarm(probeWait*c.set.Round, func() {
+				if !q.closed {
+					c.place(q, not)
+				}
+			})
+			return
+		}
 	}
 	e := c.pool
 	if e == nil {
@@ -354,12 +353,17 @@
 // patienceFor is how long an attempt is waited for: until it is more likely lost than late, by the spread of
 // service times seen and the share of answers lost.
 func (c *Controller) patienceFor(q *query, e *engine) time.Duration {
-	k, lost := c.classes[q.c], c.loss(e)
-	tail := min(maybeLost, max(surelyLost, lost/(1-min(lost, 0.9))))
-	z := math.Sqrt2 * math.Erfinv(1-2*tail)
+	k := c.classes[q.c]
+	z := math.Sqrt2 * math.Erfinv(1-2*c.tail(e))
 	return seconds(c.expect(q, e) * math.Exp(k.spreadMean+z*math.Sqrt(k.spreadVar)))
 }
 
+// tail is the share of answers that come later than an attempt is waited for.
+func (c *Controller) tail(e *engine) float64 {
+	lost := c.loss(e)
+	return min(maybeLost, max(surelyLost, lost/(1-min(lost, 0.9))))
+}
+
 // hopeless says whether a query that would be held, as the bound is used up, can't make its aim: refused
 // early, it costs nothing and its client may try again. Guards against a surge or lost engines.
 func (c *Controller) hopeless(q *query, e *engine) bool {
@@ -478,7 +482,7 @@
 	a.out = false
 	e.end(a)
 	if a.lost && ev.Status == OK {
-		e.lost, c.lost = max(0, e.lost-1), max(0, c.lost-1)
+		e.lost, c.lost = max(0, e.lost-a.sure), max(0, c.lost-a.sure)
 	}
 	if width := c.classes[q.c].Threads; ev.Status == TimedOut && !c.set.Limits.Cancel && !a.dropped {
 		c.alarm(c.now-a.sent, func() { e.hold(-width) }) // it may run on: as long again, by its age
@@ -495,6 +499,9 @@
 	}
 	if ev.Status == OK {
 		c.learn(q, a, ev)
+		if c.classes[q.c].Waits {
+			e.unlock(q.Tables)
+		}
 	}
 	if ev.Closed && !q.closed {
 		c.left(q, 0)
@@ -526,7 +533,7 @@
 		return
 	case TimedOut:
 		if !c.pressed(e.lot) {
-			c.lose(e)
+			c.lose(e, 1)
 		}
 		return
 	case Full:
@@ -576,13 +583,27 @@
 	if !a.out || a.q.closed || a.called || a.lost {
 		return
 	}
-	limit := c.patienceFor(a.q, a.e)
+	k, limit := c.classes[a.q.c], c.patienceFor(a.q, a.e)
 	if n := c.set.NotesEvery; n > 0 {
 		limit = min(limit, seconds(missedNotes*n.Seconds()))
 	}
-	heard := max(a.sent, a.heardAt)
+	heard, sure := max(a.sent, a.heardAt), 0.0
+	if k.Waits && !a.dropped {
+		limit = max(limit, seconds(leastStand*k.Aim.Seconds()))
+		left, answers := limit-(c.now-heard), a.e.heardAt > a.sent
+		if left > 0 || !answers && left > -leastSilence {
+			c.alarm(max(left, limit/4), func() { c.watch(a) })
+			return
+		}
+		if answers { // others: this one stands still behind a load
+			c.stand(a)
+		}
+	}
+	if k.Waits {
+		limit += seconds(c.longest)
+	}
 	if c.loss(a.e) < fewLost && c.now-a.sent < hungAt*limit { // answers others: slow, not silent
-		heard, limit = max(heard, a.e.heardAt), limit+leastSilence
+		heard, limit, sure = max(heard, a.e.heardAt), limit+leastSilence, 1
 	}
 	if left := limit - (c.now - heard); left > 0 {
 		c.alarm(left, func() { c.watch(a) })
@@ -593,17 +614,27 @@
 	}
 	c.alarm(c.now-a.sent, func() { // it may run on: as long again, by its age
 		if a.out {
-			a.dropped = true
-			a.e.hold(-c.classes[a.q.c].Threads)
+			c.drop(a)
 		}
 	})
-	c.lose(a.e)
+	// After short patience it may be only late, which never shows if it is called off. Guards against a
+	// belief in losses that feeds on itself: the more it believes, the shorter its patience.
+	a.sure = max(sure, c.loss(a.e)/(c.loss(a.e)+c.tail(a.e)))
+	c.lose(a.e, a.sure)
 	if c.loss(a.e) > silentAfter {
 		c.setDown(a.e, "silent")
 	}
 	c.rescue(a)
 }
 
+// stand takes an attempt that stands still behind a load of whichever gateway: it needs nothing of its engine
+// then, others that would stand there too go elsewhere, and it is tried elsewhere while there is time.
+func (c *Controller) stand(a *attempt) {
+	c.drop(a)
+	a.e.locks = append(a.e.locks, lock{a.q.Tables, c.now + seconds(c.longest)})
+	c.rescue(a)
+}
+
 // drag is the log of an engine's slowness, from answers or, if worse, from the age of what is out.
 func (c *Controller) drag(e *engine) float64 {
 	return max(c.slowness(e), math.Log(max(1, e.overdue/2)))
@@ -642,32 +673,6 @@
 	}
 }
 
-// reported takes a load report: the busiest of the shares, or the queries held against the bound.
-func (c *Controller) reported(e *engine, row []float64) {
-	if len(row) == 0 || len(row) != len(c.set.ReportFields) {
-		return
-	}
-	load := 0.0
-	threads, memory := c.means()
-	for i, f := range c.set.ReportFields {
-		switch f {
-		case "util", "x1", "x0":
-			load = max(load, row[i])
-		case "inflight":
-			load = max(load, row[i]*threads/(mostThreads*e.cores), row[i]*memory/e.memory)
-		}
-	}
-	if c.now-e.reportAt > interval {
-		e.report = load
-	}
-	e.report += 0.5 * (load - e.report)
-	e.reportAt = c.now
-	if p := e.lot; p != e {
-		p.report += poolReport * (load - p.report)
-		p.reportAt = c.now
-	}
-}
-
 // tick looks at what waits, and each interval runs the regulators.
 func (c *Controller) tick() {
 	c.do(SetTimer{tick, 1})
@@ -690,58 +695,6 @@
 	}
 }
 
-// learn takes what an answer teaches: work, estimates' bias, memory, slowness.
-func (c *Controller) learn(q *query, a *attempt, ev Attempt) {
-	k, e := c.classes[q.c], a.e
-	took, th := max(ev.Took.Seconds(), 1e-4), float64(k.Threads)
-	k.seen++
-	gain, x := max(0.02, 1/(k.seen+1)), 0.0
-	if c.set.CostTold && ev.Work > 0 {
-		work := ev.Work.Seconds()
-		k.work += gain * (work - k.work)
-		if q.Work > 0 {
-			k.ratio += gain * (work/q.Work.Seconds() - k.ratio)
-		}
-		if q.MemoryMB > 0 && ev.MemoryMB > 0 {
-			up := -0.2
-			if ev.MemoryMB > q.MemoryMB*k.needs {
-				up = 0.8
-			}
-			k.needs *= 1 + 0.03*up
-		}
-		k.memory += gain * (ev.MemoryMB - k.memory)
-		x = math.Log(took * th / work)
-	} else {
-		work := took * th / math.Exp(c.slowness(e))
-		k.work += gain * (work - k.work)
-		l := math.Log(took)
-		if math.IsNaN(k.level) {
-			k.level = l
-		}
-		if gain *= 0.5; l < k.level { // a low quantile, followed in ever smaller steps
-			k.level -= 3 * max(gain, levelStep)
-		} else {
-			k.level += max(gain-0.01, levelStep)
-		}
-		x = l - k.level
-	}
-	z := math.Log(took / c.expect(q, e))
-	k.spreadVar += spreadGain * ((z-k.spreadMean)*(z-k.spreadMean) - k.spreadVar)
-	k.spreadMean += spreadGain * (z - k.spreadMean)
-	weight := slowGain
-	if !c.set.CostTold {
-		weight /= 3 // the scatter of the work is in the sample
-	}
-	if p := e.lot; p != e {
-		e.slow += max(weight, 1/e.evidence) * (x - e.slow)
-		e = p
-	}
-	e.slow += max(weight, 1/float64(e.samples+1)) * (x - e.slow)
-	e.samples, e.sampledAt = e.samples+1, c.now
-	e.sum, e.n = e.sum+took/k.Aim.Seconds(), e.n+1
-	k.latency, k.done = k.latency+(c.now-q.taken).Seconds(), k.done+1
-}
-
 // control runs once an interval: what was seen goes to the regulators, the optimizer sets their targets.
 func (c *Controller) control(gap time.Duration) {
 	low := math.Inf(1)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -973,3 +973,110 @@
 		t.Fatalf("%d engines, %d by name, %d lines are remembered", len(r.c.engines), len(r.c.engineOf), len(r.c.loggedAt))
 	}
 }
+
+// Lookups were seen to stand behind loads of other gateways until their aim had passed, and to count as threads that
+// run meanwhile. They are called off and tried elsewhere, and no other goes there while the load is believed to run.
+func TestWhatStandsBehindALoadGoesElsewhere(t *testing.T) {
+	s := base()
+	s.Limits.Cancel, s.Classes[0].Waits, s.Classes[1].Load = true, true, true
+	r := newRig(t, s, eng("e1"), eng("e2"))
+	for range 200 {
+		id, _ := r.ask("quick")
+		r.run(20 * ms)
+		r.end(id, 0, OK)
+	}
+	id, got := r.ask("quick", func(q *Query) { q.Tables = 7 })
+	stuck := pickOf[Send](got)[0].Engine
+	var off time.Duration
+	for from := r.now; off == 0 && r.now < from+2*time.Second; {
+		other, _ := r.ask("quick", func(q *Query) { q.Tables = 3 })
+		if got := r.run(20 * ms); len(pickOf[Cancel](got)) > 0 {
+			want(t, "called off", pickOf[Cancel](got)[0].Query, id)
+			off = r.now - from
+		}
+		r.end(other, 0, OK)
+	}
+	if off == 0 || off > 400*ms {
+		t.Fatalf("called off after %v, which leaves no time for another try", off)
+	}
+	want(t, "threads that count", r.c.engineOf[stuck].threads, 0)
+	want(t, "losses", r.c.lost, 0)
+	again := pickOf[Send](r.end(id, 0, Cancelled))
+	if len(again) != 1 || again[0].Engine == stuck {
+		t.Fatalf("tried again: %v, not at %s", again, stuck)
+	}
+	for range 10 {
+		_, got := r.ask("quick", func(q *Query) { q.Tables = 7 })
+		if s := pickOf[Send](got); len(s) > 0 && s[0].Engine == stuck {
+			t.Fatal("more went where a load holds the data set")
+		}
+	}
+	r.end(id, 1, OK) // elsewhere, which tells nothing of the load
+	want(t, "held", r.c.loading(r.c.engineOf[stuck], 7), true)
+	r.run(10 * time.Second)
+	want(t, "held for good", r.c.loading(r.c.engineOf[stuck], 7), false)
+}
+
+// On a day without a lost answer 40 of 100 attempts were called off: each counted as a loss, which made patience
+// shorter, until it was less than the usual time. What is called off early is as likely late.
+func TestABeliefInLossesDoesNotFeedOnItself(t *testing.T) {
+	s := base()
+	s.Limits.Cancel, s.Limits.MaxAttempts = true, 4
+	s.Classes[0].LateWorth = 0.5
+	r := newRig(t, s, eng("e1"), eng("e2"))
+	r.c.lost, r.c.evidence = 30, 100 // as after a bad moment
+	for _, e := range r.c.engines {
+		e.lost, e.evidence = 15, 50
+	}
+	off := 0
+	for i := range 600 { // each is answered, and one in ten is several times as slow as the rest
+		id, _ := r.ask("quick")
+		took := time.Duration(20+i*37%61) * ms
+		if i%10 == 9 {
+			took = 200 * ms
+		}
+		got := r.run(took)
+		if i >= 300 {
+			off += len(pickOf[Cancel](got))
+		}
+		q := r.c.queries[id]
+		if n := len(q.attempts) - 1; q.attempts[n].called {
+			r.feed(Attempt{Query: id, Number: n, Status: Cancelled, Took: took})
+			r.run(took)
+			r.feed(Attempt{Query: id, Number: n + 1, Status: OK, Took: 40 * ms, Closed: true, Work: 40 * ms})
+		} else {
+			r.feed(Attempt{Query: id, Number: n, Status: OK, Took: took, Closed: true, Work: 40 * ms})
+		}
+	}
+	if off > 15 {
+		t.Fatalf("%d of the last 300 were called off, and none was lost", off)
+	}
+}
+
+// A report is refreshed a few times a second, so that another probe within that tells nothing and costs its price:
+// 0.86 probes a request were seen.
+func TestAYoungReportIsNotAskedForAgain(t *testing.T) {
+	s := base()
+	s.Limits.Probing, s.ReportFields = true, []string{"x1"}
+	r := newRig(t, s, eng("e1"), eng("e2"))
+	r.run(2 * interval)
+	probed := map[string]time.Duration{}
+	sends := 0
+	for range 300 {
+		_, got := r.ask("long")
+		got = append(got, r.run(10*ms)...)
+		for _, p := range pickOf[Probe](got) {
+			if last, ok := probed[p.Engine]; ok && r.now-last < reportAge-20*ms {
+				t.Fatalf("%s was probed again after %v", p.Engine, r.now-last)
+			}
+			probed[p.Engine] = r.now
+		}
+		for _, snd := range pickOf[Send](got) {
+			sends++
+			r.end(snd.Query, 0, OK)
+		}
+	}
+	if len(probed) != 2 || sends < 250 {
+		t.Fatalf("%d engines were probed, %d queries sent", len(probed), sends)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -42,12 +42,20 @@
 	trialAt   time.Duration
 	report    float64 // load as reported
 	reportAt  time.Duration
+	askedAt   time.Duration // when it was probed for a report
+	locks     []lock        // data sets that loads seem to hold
 	colds     []coldSend
 	evidence  float64 // answers that beliefs rest on, fading
 	lost      float64 // those of them that never came
 	sum, n    float64 // service time over aim in this interval
 }
 
+// lock is a data set that is held by a load, as far as is known, and until when that is believed.
+type lock struct {
+	tables int
+	until  time.Duration
+}
+
 type coldSend struct {
 	at   time.Duration
 	work float64
@@ -59,10 +67,11 @@
 	e       *engine
 	sent    time.Duration
 	out     bool
-	ran     bool // it may have run
-	called  bool // it was called off
-	lost    bool // its answer is not waited for
-	dropped bool // it counts no more against the bound
+	ran     bool    // it may have run
+	called  bool    // it was called off
+	lost    bool    // its answer is not waited for
+	sure    float64 // how sure that is
+	dropped bool    // it counts no more against the bound
 	heardAt time.Duration
 }
 
@@ -140,6 +149,7 @@
 	rate       float64 // queries a second
 	meanWork   float64 // of a query, by the rates of the classes
 	heaviest   float64 // work of the heaviest class
+	longest    float64 // usual time of the longest class of loads, in seconds
 	dearest    int     // the class that earns most for its work
 	widest     float64 // threads of the widest class
 	ready      int     // engines listed as ready
@@ -480,9 +490,12 @@
 		served += k.done
 		k.done, k.latency = 0, 0
 	}
-	c.rate, c.meanWork, c.heaviest = rate, work/rate, 0
+	c.rate, c.meanWork, c.heaviest, c.longest = rate, work/rate, 0, 0
 	for i, k := range c.classes {
 		c.heaviest = max(c.heaviest, k.work)
+		if k.Load {
+			c.longest = max(c.longest, k.work/float64(k.Threads))
+		}
 		if o := c.classes[c.dearest]; k.Worth/k.work > o.Worth/o.work {
 			c.dearest = i
 		}
@@ -502,14 +515,25 @@
 	return float64(uint32(e.hash*31+tables)*odd>>16) / (1 << 16)
 }
 
-// loading says whether a load of a data set of this gateway's is out at an engine.
+// loading says whether a load of a data set is out at an engine: one of this gateway's, or one that others seem to
+// have there.
 func (c *Controller) loading(e *engine, tables int) bool {
-	for _, a := range e.attempts {
-		if c.classes[a.q.c].Load && a.q.Tables == tables {
-			return true
-		}
+	e.locks = slices.DeleteFunc(e.locks, func(l lock) bool { return l.until <= c.now })
+	return slices.ContainsFunc(e.locks, func(l lock) bool { return l.tables == tables }) ||
+		slices.ContainsFunc(e.attempts, func(a *attempt) bool { return c.classes[a.q.c].Load && a.q.Tables == tables })
+}
+
+// unlock forgets that loads hold a data set, as what waits for them was answered.
+func (e *engine) unlock(tables int) {
+	e.locks = slices.DeleteFunc(e.locks, func(l lock) bool { return l.tables == tables })
+}
+
+// drop counts an attempt no more against its engine's bound.
+func (c *Controller) drop(a *attempt) {
+	if !a.dropped {
+		a.dropped = true
+		a.e.hold(-c.classes[a.q.c].Threads)
 	}
-	return false
 }
 
 // resize sums up after a change of engines: whether most look bad, when the belief is probably wrong, and
@@ -598,9 +622,9 @@
 	return c.engines
 }
 
-// lose counts an answer that never came.
-func (c *Controller) lose(e *engine) {
-	e.lost, e.evidence, c.lost, c.evidence = e.lost+1, e.evidence+1, c.lost+1, c.evidence+1
+// lose counts an answer that never came, as far as that is sure.
+func (c *Controller) lose(e *engine, sure float64) {
+	e.lost, e.evidence, c.lost, c.evidence = e.lost+sure, e.evidence+1, c.lost+sure, c.evidence+1
 }
 
 // age sets the age of what is out at an engine: the median, which one long query can't move.
@@ -692,3 +716,89 @@
 	c.further = slices.DeleteFunc(c.further, func(t time.Duration) bool { return t < from })
 	c.took = slices.DeleteFunc(c.took, func(t time.Duration) bool { return t < from+c.set.Round })
 }
+
+// left learns how long clients stay that leave before their time, and how many do.
+func (c *Controller) left(q *query, gone float64) {
+	k := c.classes[q.c]
+	k.leaves += spreadGain * (gone - k.leaves)
+	first := min(1, manyLeave/max(k.leaves, 1e-9)) // while few left, the last one tells most
+	k.stays += gone * max(leaveGain, first) * ((c.now - q.taken).Seconds() - k.stays)
+}
+
+// reported takes a load report: the busiest of the shares, or the queries held against the bound.
+func (c *Controller) reported(e *engine, row []float64) {
+	if len(row) == 0 || len(row) != len(c.set.ReportFields) {
+		return
+	}
+	load := 0.0
+	threads, memory := c.means()
+	for i, f := range c.set.ReportFields {
+		switch f {
+		case "util", "x1", "x0":
+			load = max(load, row[i])
+		case "inflight":
+			load = max(load, row[i]*threads/(mostThreads*e.cores), row[i]*memory/e.memory)
+		}
+	}
+	if c.now-e.reportAt > interval {
+		e.report = load
+	}
+	e.report += 0.5 * (load - e.report)
+	e.reportAt = c.now
+	if p := e.lot; p != e {
+		p.report += poolReport * (load - p.report)
+		p.reportAt = c.now
+	}
+}
+
+// learn takes what an answer teaches: work, estimates' bias, memory, slowness.
+func (c *Controller) learn(q *query, a *attempt, ev Attempt) {
+	k, e := c.classes[q.c], a.e
+	took, th := max(ev.Took.Seconds(), 1e-4), float64(k.Threads)
+	k.seen++
+	gain, x := max(0.02, 1/(k.seen+1)), 0.0
+	if c.set.CostTold && ev.Work > 0 {
+		work := ev.Work.Seconds()
+		k.work += gain * (work - k.work)
+		if q.Work > 0 {
+			k.ratio += gain * (work/q.Work.Seconds() - k.ratio)
+		}
+		if q.MemoryMB > 0 && ev.MemoryMB > 0 {
+			up := -0.2
+			if ev.MemoryMB > q.MemoryMB*k.needs {
+				up = 0.8
+			}
+			k.needs *= 1 + 0.03*up
+		}
+		k.memory += gain * (ev.MemoryMB - k.memory)
+		x = math.Log(took * th / work)
+	} else {
+		work := took * th / math.Exp(c.slowness(e))
+		k.work += gain * (work - k.work)
+		l := math.Log(took)
+		if math.IsNaN(k.level) {
+			k.level = l
+		}
+		if gain *= 0.5; l < k.level { // a low quantile, followed in ever smaller steps
+			k.level -= 3 * max(gain, levelStep)
+		} else {
+			k.level += max(gain-0.01, levelStep)
+		}
+		x = l - k.level
+	}
+	z := math.Log(took / c.expect(q, e))
+	k.spreadVar += spreadGain * ((z-k.spreadMean)*(z-k.spreadMean) - k.spreadVar)
+	k.spreadMean += spreadGain * (z - k.spreadMean)
+	weight := slowGain
+	if !c.set.CostTold {
+		weight /= 3 // the scatter of the work is in the sample
+	}
+	if p := e.lot; p != e {
+		e.slow += max(weight, 1/e.evidence) * (x - e.slow)
+		e = p
+	}
+	e.slow += max(weight, 1/float64(e.samples+1)) * (x - e.slow)
+	e.samples, e.sampledAt = e.samples+1, c.now
+	e.sum, e.n = e.sum+took/k.Aim.Seconds(), e.n+1
+	k.latency, k.done = k.latency+(c.now-q.taken).Seconds(), k.done+1
+}
