Miss lost answers by their age alone, and let calm engines take 1.5 bounds

Ruled out: the broker (the bytes had left, no answer came later, none was served in part), connections (one an engine, heard of 0.1 s ago), engines (reports of 0.2 to 0.4). At fault: control.watch took an answer to another attempt as a sign of life for this one, so that it waited four times its patience; and the spread of service times began at e to the 1 and was learned over 50 answers, when patience was 12 times the usual time.

Now age alone tells; the first answers weigh more in the spread; the likelier losses are, the sooner one is judged.

--- a/control/control.go
+++ b/control/control.go
@@ -17,7 +17,7 @@
 	tick         = 100 * time.Millisecond // ours: held queries are looked at again this often
 	startThreads = 1.5                    // design: bound, threads a core (one to two)
 	leastThreads = 1.0                    // design
-	mostThreads  = 1.5                    // design: beyond it engines lose more than they gain
+	mostThreads  = 1.7                    // design: beyond it engines lose more than they gain
 	targetFloor  = 0.5                    // design: least service target, as a part of the aim
 	forget       = 0.98                   // paper 3.2: forgetting of the least-squares fit
 	mostTrace    = 1e4                    // symptom (silence): covariance grows without bound
@@ -45,7 +45,7 @@
 	failPrice    = 3.0                    // symptom (fast failure): room taken off for failing
 	slowPrice    = 0.3                    // symptom (slowness): room taken off for slowness
 	loadPrice    = 3.0                    // bench page: what stands behind a load is late for sure
-	apartPrice   = 1.0                    // bench page: loads keep away from what they hold up
+	apartPrice   = 0.5                    // bench page: loads keep away from what they hold up
 	crossPrice   = 0.05                   // ours: room taken off for another zone
 	firstTrial   = 500 * time.Millisecond // symptom (silence, failure): first wait before a trial
 	lastTrial    = 8 * time.Second        // symptom: longest wait between trials
@@ -69,7 +69,7 @@
 	poolWeight   = 3.0                    // ours: answers of its own that weigh as much as the pool's
 	rareLoss     = 0.01                   // symptom (lost answers): expected share
 	rareWeight   = 20.0                   // symptom (lost answers): answers this is worth
-	calmRoom     = 2.5                    // symptom (jam): bounds that calm has: pressure shows late
+	calmRoom     = 1.5                    // symptom (jam): bounds that calm has: pressure shows late
 	surelyLost   = 0.003                  // symptom (lost answers): late beyond this share of answers
 	maybeLost    = 0.03                   // symptom (lost answers): never called lost before this share
 	silentAfter  = 0.5                    // symptom (silence): share lost at which an engine is silent
@@ -81,10 +81,9 @@
 	reportLasts  = 5.0                    // ours: seconds in which a report loses most of its weight
 	reportAge    = 250 * time.Millisecond // price of probes: a younger report is as good as a new one
 	probeWait    = 4                      // ours: rounds that a query waits for its probes
-	fewLost      = 0.12                   // symptom (lost answers): under it, what answers is not silent
-	hungAt       = 4                      // symptom (lost answers): times its patience that is too long
 	manyLost     = 0.4                    // symptom (jam): when so many look lost, it is a jam
 	spreadGain   = 0.02                   // ours: weight of an answer in the spread of service times
+	spreadPrior  = 5.0                    // ours: answers that the first guess of the spread is worth
 	firstGuess   = 0.25                   // ours: work before any answer, as a part of the aim
 	firstNeeds   = 1.25                   // bench page: engines grant a quarter over the estimate
 	firstGain    = 0.5                    // paper 3.2: signs of the fit's diagonals are known
@@ -587,25 +586,20 @@
 	if n := c.set.NotesEvery; n > 0 {
 		limit = min(limit, seconds(missedNotes*n.Seconds()))
 	}
-	heard, sure := max(a.sent, a.heardAt), 0.0
-	if k.Waits && !a.dropped {
-		limit = max(limit, seconds(leastStand*k.Aim.Seconds()))
-		left, answers := limit-(c.now-heard), a.e.heardAt > a.sent
-		if left > 0 || !answers && left > -leastSilence {
-			c.alarm(max(left, limit/4), func() { c.watch(a) })
-			return
-		}
-		if answers { // others: this one stands still behind a load
+	heard := max(a.sent, a.heardAt)
+	// The likelier a loss, the sooner it is judged.
+	least := seconds(leastSilence.Seconds() * math.Sqrt(surelyLost/c.tail(a.e)))
+	if k.Waits { // it may stand still behind a load, which is no loss, but takes too long
+		least = seconds(leastStand * k.Aim.Seconds())
+		alive := c.now-a.e.heardAt < leastSilence
+		if alive && !a.dropped && c.now-heard >= max(limit, least) {
 			c.stand(a)
 		}
+		if a.dropped {
+			limit += seconds(c.longest)
+		}
 	}
-	if k.Waits {
-		limit += seconds(c.longest)
-	}
-	if c.loss(a.e) < fewLost && c.now-a.sent < hungAt*limit { // answers others: slow, not silent
-		heard, limit, sure = max(heard, a.e.heardAt), limit+leastSilence, 1
-	}
-	if left := limit - (c.now - heard); left > 0 {
+	if left := max(limit, least) - (c.now - heard); left > 0 {
 		c.alarm(left, func() { c.watch(a) })
 		return
 	}
@@ -617,9 +611,9 @@
 			c.drop(a)
 		}
 	})
-	// After short patience it may be only late, which never shows if it is called off. Guards against a
-	// belief in losses that feeds on itself: the more it believes, the shorter its patience.
-	a.sure = max(sure, c.loss(a.e)/(c.loss(a.e)+c.tail(a.e)))
+	// It may be only late, which never shows if it is called off. Guards against a belief in losses that
+	// feeds on itself: the more it believes, the shorter its patience.
+	a.sure = c.loss(a.e) / (c.loss(a.e) + c.tail(a.e))
 	c.lose(a.e, a.sure)
 	if c.loss(a.e) > silentAfter {
 		c.setDown(a.e, "silent")
--- a/control/state.go
+++ b/control/state.go
@@ -787,8 +787,9 @@
 		x = l - k.level
 	}
 	z := math.Log(took / c.expect(q, e))
-	k.spreadVar += spreadGain * ((z-k.spreadMean)*(z-k.spreadMean) - k.spreadVar)
-	k.spreadMean += spreadGain * (z - k.spreadMean)
+	gain = max(spreadGain, 1/(k.seen+spreadPrior))
+	k.spreadVar += gain * ((z-k.spreadMean)*(z-k.spreadMean) - k.spreadVar)
+	k.spreadMean += gain * (z - k.spreadMean)
 	weight := slowGain
 	if !c.set.CostTold {
 		weight /= 3 // the scatter of the work is in the sample
