Ask silent engine connections at once, count whole answers, ask a stopped change log again

Read beside the protocol, and each shown by a test that failed before the change: - pool.read parsed all that a read brought before it handed anything on, so that a good answer ahead of a spoilt one was lost with it (an engine's request that may not be repeated then failed); answers whose connection broke while the reducer was behind were dropped by chance (post with the link's context). - changes.poll moved since on before the reducer had the page; a poll that was ended by a reload at that moment lost it. - a change log that stops in the middle of an event was waited for until the end of the poll (1.4 s); now 400 ms. - a mute connection was found only once the module had given an attempt up there; now any with something out and no word for 500 ms is asked.

--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -12,6 +12,7 @@
 const (
 	pollWait    = time.Second // a poll is answered by then; short, so that a log gone silent is soon noticed
 	pollSlack   = 400 * time.Millisecond
+	logStall    = 400 * time.Millisecond // an answer that has begun is whole by then
 	logConnect  = 500 * time.Millisecond
 	firstPause  = 20 * time.Millisecond
 	longPause   = 500 * time.Millisecond
@@ -68,9 +69,12 @@
 				return err
 			}
 			var r changelog.Response
-			for size := 0; size == 0; {
+			for size, begun := 0, false; size == 0; {
 				if _, err := l.in.ReadOnce(nc); err != nil {
-					if isTimeout(err) {
+					switch {
+					case isTimeout(err) && begun:
+						return &ended{Stalled, err}
+					case isTimeout(err):
 						return &ended{Silent, err}
 					}
 					return err
@@ -79,14 +83,22 @@
 					return err
 				}
 				l.in.Discard(size)
+				// Guards against a log that stops in the middle of an event: what it would have told counts as told.
+				if size == 0 && !begun {
+					begun = true
+					if err := nc.SetReadDeadline(time.Now().Add(logStall)); err != nil {
+						return err
+					}
+				}
 			}
 			page, err := changelog.ParsePage(r.Body)
 			if err != nil {
 				return &ended{Malformed, err}
 			}
-			if page.Seq > *since {
+			// Guards against a page that is let go, as the poll ends while the reducer is behind, and never asked for
+			// again.
+			if page.Seq > *since && n.post(ctx, func() { n.apply(broker.Changes{Page: page}) }) {
 				*since = page.Seq
-				n.post(ctx, func() { n.apply(broker.Changes{Page: page}) })
 			}
 			if r.Close {
 				return &ended{Reason: PeerClosed}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,11 +112,13 @@
 	n.log.Info("reloaded", zap.String("changelog", cfg.Changelog), zap.Strings("need_restart", n.cfg.NeedRestart(cfg)))
 }
 
-// post hands f to the goroutine that owns the reducer. It waits while that is behind.
-func (n *Node) post(ctx context.Context, f func()) {
+// post hands f to the goroutine that owns the reducer. It waits while that is behind, and tells whether f was taken.
+func (n *Node) post(ctx context.Context, f func()) bool {
 	select {
 	case n.inbox <- f:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -24,7 +24,7 @@
 	stallWait    = 200 * time.Millisecond // an answer that has begun is whole by then
 	lastLook     = 10 * time.Millisecond  // what came while the process stood still is read before that is judged
 	idlePart     = 0.6                    // of the engines' limit on idle time: ours close first
-	silentFor    = 500 * time.Millisecond // the module takes 600 ms at least to call an attempt lost
+	silentFor    = 500 * time.Millisecond // nothing came for so long: the connection is asked whether it is alive
 	oldestProbe  = time.Second
 	doubtFor     = 250 * time.Millisecond // an engine that is asked whether it is there says so by then
 	probeMark    = "p"                    // ahead of a probe's tag; ids of requests are hex digits
@@ -34,11 +34,10 @@
 
 // pool holds the connections to engines and what is out on them. The goroutine of the reducer owns it.
 type pool struct {
-	n       *Node
-	conns   map[string][]*upstream // by engine
-	count   int
-	doubted []*upstream // asked whether they are alive
-	out     map[broker.Attempt]*stream
+	n     *Node
+	conns map[string][]*upstream // by engine
+	count int
+	out   map[broker.Attempt]*stream
 }
 
 // upstream is a connection to an engine, or one that is coming up.
@@ -51,7 +50,8 @@
 	spent        map[string]time.Time // ids that may be answered though nothing waits for that, and since when
 	retired      bool                 // takes nothing new
 	gone         bool
-	used, heard  time.Time
+	used         time.Time
+	heard        time.Time // when a word last came; the time it came up before that
 	doubtAt      time.Time // when it was asked whether it is alive; zero: it is, as far as is known
 }
 
@@ -159,7 +159,7 @@
 		} else {
 			l := newLink(nc, engineWait, engineIn, engineOut)
 			n.post(ctx, func() { p.up(c, l) })
-			err = l.run(ctx, func(ctx context.Context) error { return p.read(ctx, c, l) })
+			err = l.run(ctx, func(context.Context) error { return p.read(c, l) })
 		}
 		n.post(n.ctx, func() { p.down(c) })
 		if ctx.Err() != nil && n.ctx.Err() == nil {
@@ -176,7 +176,7 @@
 	if c.gone {
 		return
 	}
-	c.link = l
+	c.link, c.heard = l, time.Now()
 	for _, s := range slices.SortedFunc(maps.Values(c.streams), func(a, b *stream) int { return a.at.Compare(b.at) }) {
 		if !s.done {
 			p.send(s)
@@ -273,7 +273,6 @@
 	if c.gone {
 		return
 	}
-	p.doubt(c, s)
 	c.link.then(func() {
 		p.n.post(p.n.ctx, func() {
 			if !s.done {
@@ -292,32 +291,39 @@
 	p.remove(s)
 }
 
-// doubt asks whether a connection is alive on which nothing came since an attempt that is given up was sent. It
-// takes nothing new until a word comes. Guards against engines whose machine vanished and answers that stop for
-// good: such a connection stays open and silent, while a new one comes up or proves that nothing ran.
-func (p *pool) doubt(c *upstream, s *stream) {
-	if c.doubtAt.IsZero() && time.Since(s.at) > silentFor && c.heard.Before(s.at) {
-		c.doubtAt = time.Now()
-		p.doubted = append(p.doubted, c)
-		p.say(c, "there", doubtMark)
+// judge asks whether a connection is alive on which something is out and nothing came for long; it takes nothing new
+// until a word comes. One that was asked and said nothing is closed: all that is out on it ends. Guards against
+// engines whose machine vanished and answers that stop for good, which leave a connection open and silent: a new
+// one comes up or proves that nothing ran.
+func (p *pool) judge() {
+	now := time.Now()
+	for _, conns := range p.conns {
+		for _, c := range slices.Clone(conns) {
+			switch {
+			case c.link == nil || len(c.streams) == 0 && c.doubtAt.IsZero():
+			case c.heard.After(c.doubtAt) && !c.doubtAt.IsZero():
+				c.doubtAt = time.Time{}
+			case !c.doubtAt.IsZero():
+				if now.Sub(c.doubtAt) > doubtFor {
+					p.close(c, Retired)
+				}
+			case now.Sub(c.heard) > silentFor && now.Sub(c.oldest()) > silentFor:
+				c.doubtAt = now
+				p.say(c, "there", doubtMark)
+			}
+		}
 	}
 }
 
-// judge closes the connections that were asked whether they are alive and said nothing: all that is out on them
-// ends.
-func (p *pool) judge() {
-	p.doubted = slices.DeleteFunc(p.doubted, func(c *upstream) bool {
-		switch {
-		case c.gone:
-		case c.heard.After(c.doubtAt):
-			c.doubtAt = time.Time{}
-		case time.Since(c.doubtAt) > doubtFor:
-			p.close(c, Retired)
-		default:
-			return false
+// oldest is when the first of what is out was sent.
+func (c *upstream) oldest() time.Time {
+	at := time.Now()
+	for _, s := range c.streams {
+		if s.at.Before(at) {
+			at = s.at
 		}
-		return true
-	})
+	}
+	return at
 }
 
 func (p *pool) turn(e broker.Turn) {
@@ -396,7 +402,7 @@
 }
 
 // read hands on what an engine says.
-func (p *pool) read(ctx context.Context, c *upstream, l *link) error {
+func (p *pool) read(c *upstream, l *link) error {
 	begun, looked := false, false // an answer, and at what came after its time
 	for {
 		_, err := l.in.ReadOnce(l.nc)
@@ -412,22 +418,18 @@
 		case err != nil:
 			return err
 		}
-		var answers []resp.Answer
-		for {
-			parts, size, err := resp.Parse(l.in.Bytes())
-			if err != nil {
-				return err
-			}
-			if size == 0 {
-				break
-			}
-			a, err := resp.ParseAnswer(parts)
-			if err != nil {
-				return err
-			}
-			a.Body = bytes.Clone(a.Body)
-			answers = append(answers, a)
-			l.in.Discard(size)
+		answers, broken := l.answers()
+		// What came whole counts, whatever came after it or ends the connection meanwhile.
+		if len(answers) > 0 {
+			p.n.post(p.n.ctx, func() {
+				c.heard = time.Now()
+				for _, a := range answers {
+					p.answer(c, a)
+				}
+			})
+		}
+		if broken != nil {
+			return broken
 		}
 		// Guards against an answer that stops short on a connection that stays open: all that is out there would
 		// wait for nothing.
@@ -441,14 +443,23 @@
 			return err
 		}
 		begun, looked = l.in.Len() > 0, looked && len(answers) == 0
-		if len(answers) > 0 {
-			p.n.post(ctx, func() {
-				c.heard = time.Now()
-				for _, a := range answers {
-					p.answer(c, a)
-				}
-			})
+	}
+}
+
+// answers takes the whole answers off what was read, up to one that can't be read.
+func (l *link) answers() (all []resp.Answer, err error) {
+	for {
+		parts, size, err := resp.Parse(l.in.Bytes())
+		if err != nil || size == 0 {
+			return all, err
+		}
+		a, err := resp.ParseAnswer(parts)
+		if err != nil {
+			return all, err
 		}
+		a.Body = bytes.Clone(a.Body)
+		all = append(all, a)
+		l.in.Discard(size)
 	}
 }
 
