Give a new engine time for its first answer, and let held data sets weigh less

Ruled out: the restart itself (nothing lost, up again in 1.4 s), descriptors (262 of 384), CPU (0.19 s in the worst second). At fault: control.watch took an engine that had not answered yet for a silent one, so that lookups behind loads counted as lost; and loadPrice, 3 bounds, sent all lookups of a data set to the one engine without a load of it.

--- a/control/control.go
+++ b/control/control.go
@@ -44,7 +44,7 @@
 	failDown     = 0.6                    // symptom (fast failure): set aside if it fails more
 	failPrice    = 3.0                    // symptom (fast failure): room taken off for failing
 	slowPrice    = 0.3                    // symptom (slowness): room taken off for slowness
-	loadPrice    = 3.0                    // bench page: what stands behind a load is late for sure
+	loadPrice    = 1.5                    // bench page: what stands behind a load is late for sure
 	apartPrice   = 0.5                    // bench page: loads keep away from what they hold up
 	crossPrice   = 0.05                   // ours: room taken off for another zone
 	firstTrial   = 500 * time.Millisecond // symptom (silence, failure): first wait before a trial
--- a/control/state.go
+++ b/control/state.go
@@ -440,6 +440,7 @@
 	if c.pool != nil {
 		e.lot = c.pool
 	}
+	e.heardAt = c.now // guards against calling a new one silent before it had time to answer
 	c.engineOf[in.ID] = e
 	at, _ := slices.BinarySearchFunc(c.engines, in.ID, func(o *engine, id string) int {
 		return strings.Compare(o.ID, id)
