Judge what waits by its tenant's own queue, so that shares are followed under pressure

At fault: control.hopeless reckoned the wait of a query by the queue of its class, so that one tenant's backlog refused the other's queries, which fair queuing would have sent first.

A query now waits for what its tenant has queued, by its share of its class, at the most. TestATenantWithinItsShareIsNotRefusedForAnothers fails without it.

--- a/control/control.go
+++ b/control/control.go
@@ -369,7 +369,9 @@
 	if c.fits(e, q.c) {
 		return false
 	}
-	ahead := min(e.queue.work, e.queue.flows[q.c].work/c.shares[q.c]) // its class needs only its share
+	// Its class needs only its share, and its tenant within that.
+	fl, share := &e.queue.flows[q.c], c.shares[q.c]
+	ahead := min(e.queue.work, fl.work/share, fl.tenants[q.t].work/share/c.tenants[q.t].Share)
 	return c.now+seconds(ahead/e.bound*math.Exp(c.slowness(e)))+c.likely(q, e) > q.aim
 }
 
@@ -800,6 +802,7 @@
 		ln.start = max(fl.v, ln.finish)
 	}
 	ln.q = append(ln.q, q)
+	ln.work += q.work
 	fl.n++
 	f.n++
 	f.work += q.work
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1141,3 +1141,17 @@
 	r.run(leastSilence - 50*ms)
 	want(t, "losses", r.c.lost, 0)
 }
+
+// Under pressure a tenant that keeps within its share was refused for the queue of one that did not.
+func TestATenantWithinItsShareIsNotRefusedForAnothers(t *testing.T) {
+	r := pressedRig(t)
+	refused := 0
+	for range 200 {
+		_, got := r.ask("quick")
+		refused += len(pickOf[Refuse](got))
+	}
+	_, got := r.ask("quick", func(q *Query) { q.Tenant = "t1" })
+	if other := len(pickOf[Refuse](got)); refused == 0 || other > 0 {
+		t.Fatalf("%d of the one that asks too much were refused, and %d of the other", refused, other)
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -184,6 +184,7 @@
 
 type lane struct {
 	start, finish float64
+	work          float64
 	q             []*query
 }
 
@@ -314,6 +315,7 @@
 	f.n--
 	f.work -= q.work
 	fl.work -= q.work
+	ln.work -= q.work
 	f.threads -= float64(c.classes[q.c].Threads)
 }
 
