--- a/cmd/wheatlane/main.go
+++ b/cmd/wheatlane/main.go
@@ -1,90 +1,94 @@
 // Command wheatlane is a broker: it takes queries from clients, lets the decision module choose when and on
-// which engine each runs, and answers.
+// which engine each runs, and answers. Without an argument it serves; its other commands are for those who run it.
 package main
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"syscall"
 
-	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
-
-	"wheatlane/internal/config"
-	"wheatlane/internal/node"
+	"github.com/spf13/cobra"
 )
 
-// heapPart is the part of the memory limit at which the runtime collects harder; the rest is for what it
-// does not count: kernel buffers, the program itself.
-const heapPart = 0.6
+// The exit codes.
+const (
+	exitFailed = 1 // it could not do what was asked
+	exitUsage  = 2 // what was asked can't be understood
+)
 
 func main() {
-	if err := run(); err != nil {
+	if err := root().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "wheatlane:", err)
-		os.Exit(1)
+		var usage *usageError
+		if errors.As(err, &usage) {
+			fmt.Fprintf(os.Stderr, "Run '%s --help' for what it takes.\n", usage.command)
+			os.Exit(exitUsage)
+		}
+		os.Exit(exitFailed)
 	}
 }
 
-func run() error {
-	// Guards against a SIGHUP that ends the program, as it does one that takes no notice of it.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	cfg, err := config.Load(os.Getenv)
-	if err != nil {
-		return err
-	}
-	runtime.GOMAXPROCS(1) // the processes of a broker run on one core
-	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB) * (1 << 20)))
+// usageError is of a command line that can't be understood.
+type usageError struct {
+	command string
+	err     error
+}
 
-	logs := zap.NewProductionConfig()
-	logs.Sampling = nil // every ended connection has its line
-	logs.DisableCaller = true
-	log, err := logs.Build()
-	if err != nil {
-		return fmt.Errorf("log: %w", err)
-	}
-	defer log.Sync() //nolint:errcheck // standard error may not be one that can be synced
-	log = log.With(zap.String("broker", cfg.Name))
+func (e *usageError) Error() string { return e.err.Error() }
+func (e *usageError) Unwrap() error { return e.err }
 
-	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	n, err := node.New(context.Background(), cfg, log)
-	if err != nil {
-		return err
+// takes marks what a check of arguments finds as wrong use.
+func takes(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		if err := check(c, args); err != nil {
+			return &usageError{c.CommandPath(), err}
+		}
+		return nil
 	}
-	log.Info("serving", zap.Stringer("listen", n.Addr()), zap.Int64("seq", cfg.Known.Seq))
-	ctx, end := context.WithCancel(context.Background())
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return reload(ctx, hup, n, log) })
-	g.Go(func() error {
-		defer end()
-		return n.Run(ctx, stop.Done())
-	})
-	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
-		return err
+}
+
+func root() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "wheatlane",
+		Short: "A broker between the clients of a chart service and its query engines",
+		Long: `wheatlane is a broker between the clients of a chart service and its query engines.
+
+Without a command it serves, as 'wheatlane serve' does: RELAY_CONFIG names the platform's configuration, and
+WHEATLANE_OPERATOR or --operator the operator's own file.`,
+		Args:          takes(cobra.NoArgs),
+		Version:       version(),
+		SilenceErrors: true,
+		SilenceUsage:  true,
 	}
-	log.Info("stopped")
-	return nil
+	c.SetFlagErrorFunc(func(c *cobra.Command, err error) error { return &usageError{c.CommandPath(), err} })
+	serves(c)
+	serve := &cobra.Command{Use: "serve", Short: "Serve clients until SIGTERM", Args: takes(cobra.NoArgs)}
+	serves(serve)
+	c.AddCommand(serve, metricsCommand(), configCommand(), standinCommand())
+	return c
 }
 
-// reload reads the configuration again at each SIGHUP. A faulty one changes nothing.
-func reload(ctx context.Context, hup <-chan os.Signal, n *node.Node, log *zap.Logger) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-hup:
-		}
-		cfg, err := config.Load(os.Getenv)
-		if err != nil {
-			log.Error("not reloaded, the configuration before stays", zap.Error(err))
-			continue
+// group is a command that only holds others.
+func group(use, short string, of ...*cobra.Command) *cobra.Command {
+	c := &cobra.Command{Use: use, Short: short, Args: takes(cobra.NoArgs), RunE: func(c *cobra.Command, _ []string) error {
+		return &usageError{c.CommandPath(), errors.New("a command is missing")}
+	}}
+	c.AddCommand(of...)
+	return c
+}
+
+// version is what the Go tool knows of the build.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	v := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			v += " " + s.Value
 		}
-		n.Reload(ctx, cfg)
 	}
+	return v + " " + info.GoVersion
 }
--- /dev/null
+++ b/cmd/wheatlane/metrics.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"wheatlane/internal/collectd"
+	"wheatlane/internal/metrics"
+)
+
+func metricsCommand() *cobra.Command {
+	var asJSON bool
+	list := &cobra.Command{Use: "list", Short: "Print the catalogue of figures", Args: takes(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if asJSON {
+				return printCatalogue(c)
+			}
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(w, "NAME\tKIND\tUNIT\tBY\tDETAIL\tMEANING")
+			for _, f := range metrics.Catalogue {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", f.Name, f.Kind, f.Unit, f.By, f.Detail, f.Help)
+			}
+			return w.Flush()
+		}}
+	list.Flags().BoolVar(&asJSON, "json", false, "as JSON, with the details of each figure")
+	types := &cobra.Command{Use: "types", Short: "Print the types.db file that collectd needs", Args: takes(cobra.NoArgs),
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := fmt.Fprint(c.OutOrStdout(), collectd.TypesDB())
+			return err
+		}}
+	return group("metrics", "What the broker reports", list, types)
+}
+
+func printCatalogue(c *cobra.Command) error {
+	type figure struct {
+		Name    string   `json:"name"`
+		Kind    string   `json:"kind"`
+		Unit    string   `json:"unit,omitempty"`
+		By      string   `json:"by,omitempty"`
+		Detail  string   `json:"detail,omitempty"`
+		Details []string `json:"details,omitempty"`
+		Meaning string   `json:"meaning"`
+	}
+	all := []figure{}
+	for _, f := range metrics.Catalogue {
+		all = append(all, figure{f.Name, f.Kind.String(), f.Unit, f.By.String(), f.Detail, f.Parts, f.Help})
+	}
+	e := json.NewEncoder(c.OutOrStdout())
+	e.SetIndent("", "  ")
+	return e.Encode(all)
+}
--- /dev/null
+++ b/cmd/wheatlane/serve.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"wheatlane/internal/config"
+	"wheatlane/internal/node"
+	"wheatlane/internal/operator"
+	"wheatlane/internal/telemetry"
+)
+
+// heapPart is the part of the memory limit at which the runtime collects harder; the rest is for what it
+// does not count: kernel buffers, the program itself.
+const heapPart = 0.6
+
+// serves makes a command one that serves.
+func serves(c *cobra.Command) {
+	path := c.Flags().String("operator", "", "the operator's own file; without it WHEATLANE_OPERATOR names one, or there is none")
+	c.RunE = func(*cobra.Command, []string) error {
+		if *path == "" {
+			*path = os.Getenv(operator.Variable)
+		}
+		return serve(*path)
+	}
+}
+
+// newLog returns the log of a program that serves: JSON lines on standard error.
+func newLog() (*zap.Logger, error) {
+	logs := zap.NewProductionConfig()
+	logs.Sampling = nil // every ended connection has its line
+	logs.DisableCaller = true
+	log, err := logs.Build()
+	if err != nil {
+		return nil, fmt.Errorf("log: %w", err)
+	}
+	return log, nil
+}
+
+// serve runs a broker until SIGTERM or SIGINT. An empty path says that there is no operator's file.
+func serve(path string) error {
+	// Guards against a SIGHUP that ends the program, as it does one that takes no notice of it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	var own *operator.File
+	if path != "" {
+		if own, err = operator.Load(path); err != nil {
+			return err
+		}
+	}
+	runtime.GOMAXPROCS(1) // the processes of a broker run on one core
+	debug.SetMemoryLimit(int64(heapPart * float64(cfg.MemoryMB) * (1 << 20)))
+	log, err := newLog()
+	if err != nil {
+		return err
+	}
+	defer log.Sync() //nolint:errcheck // standard error may not be one that can be synced
+	log = log.With(zap.String("broker", cfg.Name))
+
+	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	n, err := node.New(context.Background(), cfg, log)
+	if err != nil {
+		return err
+	}
+	log.Info("serving", zap.Stringer("listen", n.Addr()), zap.Int64("seq", cfg.Known.Seq))
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	g, ctx := errgroup.WithContext(ctx)
+	over := make(chan struct{}) // closed when the broker has finished
+	tasks, rest := errgroup.WithContext(ctx)
+	var reporter *telemetry.Reporter
+	if own != nil {
+		var rec *telemetry.Recorder
+		reporter, rec = telemetry.New(cfg.Name, own.Names(), n, telemetry.SystemClock(), cfg.Seed, log)
+		n.Measure(rec)
+		tasks.Go(func() error { return reporter.Run(rest, own.Telemetry, stop.Done(), over) })
+	}
+	tasks.Go(func() error {
+		defer close(over)
+		return n.Run(rest, stop.Done())
+	})
+	g.Go(func() error { return reload(ctx, hup, n, reporter, path, log) })
+	g.Go(func() error {
+		defer end()
+		return tasks.Wait()
+	})
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	log.Info("stopped")
+	return nil
+}
+
+// reload reads both files again at each SIGHUP. A faulty one changes nothing, and holds the other one back no more
+// than itself.
+func reload(ctx context.Context, hup <-chan os.Signal, n *node.Node, reporter *telemetry.Reporter, path string, log *zap.Logger) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hup:
+		}
+		if cfg, err := config.Load(os.Getenv); err != nil {
+			log.Error("not reloaded, the configuration before stays", zap.Error(err))
+		} else {
+			n.Reload(ctx, cfg)
+		}
+		if reporter == nil {
+			continue
+		}
+		own, err := operator.Load(path)
+		if err != nil {
+			log.Error("not reloaded, the operator's file before stays", zap.Error(err))
+			continue
+		}
+		reporter.Reload(ctx, own.Telemetry)
+		log.Info("operator's file reloaded", zap.String("file", path))
+	}
+}
--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -35,6 +35,7 @@
 	Sent     time.Duration // when the client wrote it, as far as can be told
 	Fresh    bool          // nothing came on its connection before
 	Allow    time.Duration // how long the client waits from then
+	Again    bool          // the client says that it is a retry
 	Body     string
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -52,6 +52,7 @@
 	timers      timers
 	ordinal     uint64
 	stopped     bool
+	meter       Meter
 }
 
 type request struct {
@@ -59,6 +60,7 @@
 	id       uint64
 	name     string // id as the module knows it
 	session  Session
+	taken    time.Duration
 	over     bool // answered, or its client is gone
 	deadline time.Duration
 	grantMB  float64
@@ -72,6 +74,7 @@
 	engine  string
 	sent    time.Duration
 	out     bool
+	won     bool           // its answer is the client's
 	ending  control.Status // how it ends once its engine has been told; OK while it is not being given up
 	served  *Served
 	pages   [][]byte
@@ -92,7 +95,7 @@
 	}
 	b := &Broker{decide: c, round: set.Round, sessions: newSessions(mostSessions), requests: map[uint64]*request{}, refs: map[string]bool{},
 		engines: map[string]changelog.Host{}, probes: map[uint64]probe{}, trains: map[string]*train{},
-		classes: map[string]control.Class{}, tenants: map[string]bool{}, sweepTrains: fewTrains}
+		classes: map[string]control.Class{}, tenants: map[string]bool{}, sweepTrains: fewTrains, meter: Unmeasured{}}
 	for _, k := range set.Classes {
 		b.classes[k.Name] = k
 	}
@@ -165,9 +168,17 @@
 	return out
 }
 
-func (b *Broker) do(e Effect)              { b.out = append(b.out, e) }
-func (b *Broker) tell(ev control.Event)    { b.pending = append(b.pending, ev) }
-func (b *Broker) reply(s Session, r Reply) { r.Session = s; b.do(r) }
+func (b *Broker) do(e Effect)           { b.out = append(b.out, e) }
+func (b *Broker) tell(ev control.Event) { b.pending = append(b.pending, ev) }
+
+// reply answers a session. A result and what is no answer to a request are not turned away.
+func (b *Broker) reply(s Session, r Reply) {
+	r.Session = s
+	if r.Kind != Result && r.Kind != Done && r.Kind != Failed {
+		b.meter.TurnedAway(r.Kind)
+	}
+	b.do(r)
+}
 
 func (b *Broker) after(at time.Duration, fire func(now time.Duration)) {
 	b.ordinal++
@@ -190,7 +201,7 @@
 	case Bad:
 		b.command(now, ev.Session, ev)
 	case SessionClosed:
-		b.sessionEnds(ev.Session)
+		b.sessionEnds(now, ev.Session)
 	case Served:
 		b.served(now, ev)
 	case Page:
@@ -208,7 +219,7 @@
 }
 
 // submit takes a request; false if its fields can't be used.
-func (b *Broker) submit(s *session, ev Submit) bool {
+func (b *Broker) submit(now time.Duration, s *session, ev Submit) bool {
 	k, known := b.classes[ev.Request.Class]
 	bad := ""
 	switch {
@@ -231,10 +242,11 @@
 	}
 	b.nextID++
 	r := &request{Request: ev.Request, id: b.nextID, name: strconv.FormatUint(b.nextID, 10), session: ev.Session,
-		deadline: b.waitsFrom(ev.Request) + ev.Request.Allow, priority: 1}
+		taken: now, deadline: b.waitsFrom(ev.Request) + ev.Request.Allow, priority: 1}
 	b.requests[r.id], b.refs[r.Ref] = r, true
 	s.open = r
 	b.open++
+	b.meter.Taken(&r.Request)
 	b.tell(arrival{sent: r.Sent, Arrival: control.Arrival{Query: control.Query{ID: r.name, Class: r.Class, Tenant: r.Tenant,
 		Key: r.Order, Tables: r.Group, Deadline: r.deadline, Work: r.Work, MemoryMB: r.MemoryMB}}})
 	return true
@@ -286,8 +298,9 @@
 }
 
 // gone ends a request whose client waits no more; nothing is owed for it.
-func (b *Broker) gone(r *request) {
+func (b *Broker) gone(now time.Duration, r *request) {
 	if b.finish(r) {
+		b.measureOver(now, r, Interrupted, true)
 		b.tell(control.ClientGone{Query: r.name})
 	}
 }
@@ -307,6 +320,7 @@
 // answer gives a request its one final answer.
 func (b *Broker) answer(now time.Duration, r *request, reply Reply) {
 	if b.finish(r) {
+		b.measureOver(now, r, reply.Kind, false)
 		b.reply(r.session, reply)
 		b.idle(now, r.session)
 	}
@@ -376,6 +390,7 @@
 		b.end(now, a, control.Attempt{Status: control.Moot})
 		return
 	}
+	b.meter.Sent(r.Class)
 	b.do(Want{Attempt: a.id, Engine: e.ID, Addr: e.Addr, Ref: r.Ref, Class: r.Class, Idem: r.Idem,
 		Patience: until - now, GrantMB: r.grantMB, Priority: r.priority, Body: r.Body})
 	b.after(until, func(time.Duration) { b.giveUp(a, control.TimedOut) })
@@ -415,6 +430,8 @@
 	a.pages = nil
 	ev.Query, ev.Number, ev.Engine = a.r.name, a.id.Number, a.engine
 	ev.Took, ev.Closed = now-a.sent, a.r.over
+	ran := ev.Status != control.ConnectFailed && ev.Status != control.Full && ev.Status != control.Moot
+	b.meter.AttemptOver(AttemptOver{Class: a.r.Class, Engine: a.engine, Status: ev.Status, Took: ev.Took, Wasted: ran && !a.won})
 	b.tell(ev)
 	b.forget(a.r)
 }
@@ -529,6 +546,7 @@
 func (b *Broker) complete(now time.Duration, a *attempt) {
 	b.do(Forget{Attempt: a.id})
 	pages := a.pages
+	a.won = !a.r.over
 	b.answer(now, a.r, Reply{Kind: Result, Pages: pages})
 	b.end(now, a, control.Attempt{Status: control.OK, Work: a.served.Work, MemoryMB: a.served.MemoryMB,
 		Report: a.served.Report})
--- a/internal/broker/sessions.go
+++ b/internal/broker/sessions.go
@@ -64,7 +64,7 @@
 			return
 		}
 		b.do(CloseSession{s.id, MadeRoom})
-		b.sessionEnds(s.id)
+		b.sessionEnds(now, s.id)
 	}
 	s := &session{id: id}
 	all.by[id] = s
@@ -92,13 +92,13 @@
 }
 
 // sessionEnds forgets a session. What it waits for is not owed any more.
-func (b *Broker) sessionEnds(id Session) {
+func (b *Broker) sessionEnds(now time.Duration, id Session) {
 	s := b.sessions.by[id]
 	if s == nil {
 		return
 	}
 	if s.open != nil {
-		b.gone(s.open)
+		b.gone(now, s.open)
 	}
 	s.busy()
 	delete(b.sessions.by, id)
@@ -115,7 +115,7 @@
 		if len(s.queue) >= mostQueued {
 			b.reply(id, Reply{Kind: Interrupted, Text: "too much was asked ahead of an answer"})
 			b.do(CloseSession{id, Killed})
-			b.sessionEnds(id)
+			b.sessionEnds(now, id)
 			return
 		}
 		s.queue = append(s.queue, ev)
@@ -124,7 +124,7 @@
 	bad := false
 	switch ev := ev.(type) {
 	case Submit:
-		bad = !b.submit(s, ev)
+		bad = !b.submit(now, s, ev)
 	case Ping:
 		if b.stopped || b.ready == 0 {
 			b.reply(id, Reply{Kind: NotReady, Text: "no engine can be used, or the broker is stopping"})
@@ -153,12 +153,12 @@
 	b.reply(ev.By, Reply{Kind: Done})
 	if r := target.open; r != nil {
 		b.reply(ev.Target, Reply{Kind: Interrupted, Text: "the query was killed"})
-		b.gone(r)
+		b.gone(now, r)
 		b.idle(now, ev.Target)
 	}
 	if ev.Connection {
 		b.do(CloseSession{ev.Target, Killed})
-		b.sessionEnds(ev.Target)
+		b.sessionEnds(now, ev.Target)
 	}
 }
 
--- /dev/null
+++ b/internal/graphite/parse.go
@@ -0,0 +1,119 @@
+package graphite
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+
+	pickle "github.com/kisielk/og-rek"
+)
+
+// Errors of what a collector reads. Each costs the connection it came on.
+var (
+	ErrMalformed = errors.New("graphite: malformed")
+	ErrTooLarge  = errors.New("graphite: too large")
+)
+
+const (
+	mostLine  = 4 << 10
+	mostFrame = 1 << 20
+)
+
+// Sample is one value of one path.
+type Sample struct {
+	Path  string
+	Value float64
+	At    int64 // seconds of Unix time
+}
+
+// ParseLine reads a line from the front of b. It returns the number of bytes that it took, 0 while the line is not
+// whole yet.
+func ParseLine(b []byte) (Sample, int, error) {
+	end := bytes.IndexByte(b, '\n')
+	switch {
+	case end < 0 && len(b) > mostLine, end > mostLine:
+		return Sample{}, 0, fmt.Errorf("%w: a line of over %d bytes", ErrTooLarge, mostLine)
+	case end < 0:
+		return Sample{}, 0, nil
+	}
+	fields := bytes.Split(bytes.TrimSuffix(b[:end], []byte("\r")), []byte(" "))
+	if len(fields) != 3 || len(fields[0]) == 0 {
+		return Sample{}, 0, fmt.Errorf("%w line: %.80q", ErrMalformed, b[:end])
+	}
+	s := Sample{Path: string(fields[0])}
+	var err error
+	if s.Value, err = strconv.ParseFloat(string(fields[1]), 64); err != nil || math.IsNaN(s.Value) || math.IsInf(s.Value, 0) {
+		return Sample{}, 0, fmt.Errorf("%w value: %.80q", ErrMalformed, b[:end])
+	}
+	if s.At, err = strconv.ParseInt(string(fields[2]), 10, 64); err != nil {
+		return Sample{}, 0, fmt.Errorf("%w time: %.80q", ErrMalformed, b[:end])
+	}
+	return s, end + 1, nil
+}
+
+// ParsePickle reads a frame from the front of b, as ParseLine does a line.
+func ParsePickle(b []byte) ([]Sample, int, error) {
+	if len(b) < 4 {
+		return nil, 0, nil
+	}
+	n := int(binary.BigEndian.Uint32(b))
+	switch {
+	case n > mostFrame:
+		return nil, 0, fmt.Errorf("%w: a frame of %d bytes", ErrTooLarge, n)
+	case len(b) < 4+n:
+		return nil, 0, nil
+	}
+	v, err := pickle.NewDecoderWithConfig(bytes.NewReader(b[4:4+n]), &pickle.DecoderConfig{}).Decode()
+	if err != nil {
+		return nil, 0, fmt.Errorf("%w pickle: %w", ErrMalformed, err)
+	}
+	list, ok := v.([]any)
+	if !ok {
+		return nil, 0, fmt.Errorf("%w pickle: a %T is no list", ErrMalformed, v)
+	}
+	all := make([]Sample, 0, len(list))
+	for _, v := range list {
+		s, ok := sample(v)
+		if !ok {
+			return nil, 0, fmt.Errorf("%w pickle: %.80v is no (path, (time, value))", ErrMalformed, v)
+		}
+		all = append(all, s)
+	}
+	return all, 4 + n, nil
+}
+
+func sample(v any) (s Sample, ok bool) {
+	outer, ok := v.(pickle.Tuple)
+	if !ok || len(outer) != 2 {
+		return s, false
+	}
+	inner, ok := outer[1].(pickle.Tuple)
+	if !ok || len(inner) != 2 {
+		return s, false
+	}
+	at, ok := inner[0].(int64)
+	if !ok {
+		return s, false
+	}
+	switch path := outer[0].(type) {
+	case string:
+		s.Path = path
+	case pickle.ByteString:
+		s.Path = string(path)
+	default:
+		return s, false
+	}
+	s.At = at
+	switch value := inner[1].(type) {
+	case float64:
+		s.Value = value
+	case int64:
+		s.Value = float64(value)
+	default:
+		return s, false
+	}
+	return s, s.Path != "" && !math.IsNaN(s.Value) && !math.IsInf(s.Value, 0)
+}
--- a/internal/mysql/statement.go
+++ b/internal/mysql/statement.go
@@ -17,6 +17,7 @@
 	Lookup   string  // order key
 	EffortMS float64 // estimated work
 	RAMMB    float64 // estimated memory
+	Again    bool    // marked as a client's retry
 	Group    int     // number of the group of tables
 	Text     string  // the statement without the comment of fields
 }
@@ -57,6 +58,8 @@
 			}
 		case "project":
 			s.Project = value
+		case "dup":
+			s.Again = value == "1"
 		case "replay":
 			s.Replay, err = token(value)
 		case "lookup":
--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -30,7 +30,7 @@
 		if moved {
 			err = &ended{Moved, err}
 		}
-		n.ended("changelog", addr, began, err)
+		n.ended(ChangelogSide, addr, began, err)
 		if moved || since > before || time.Since(began) > pollWait {
 			pause = 0
 		}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -69,7 +69,7 @@
 			// of one key that come later would overtake it.
 			nc.Write(mysql.AppendError(nil, 0, mysql.CodeConnections, "too many connections")) // a new socket has room for it
 			nc.Close()
-			n.ended("client", peer, began, &ended{Reason: TooMany})
+			n.ended(ClientSide, peer, began, &ended{Reason: TooMany})
 			continue
 		}
 		n.nextID++
@@ -80,7 +80,7 @@
 				n.clients[c.id] = c
 				n.apply(broker.Connected{Session: c.id})
 			})
-			n.ended("client", peer, began, c.link.run(ctx, c.read))
+			n.ended(ClientSide, peer, began, c.link.run(ctx, c.read))
 			n.post(ctx, func() {
 				delete(n.clients, c.id)
 				n.apply(broker.SessionClosed{Session: c.id})
@@ -264,7 +264,7 @@
 	c.asked = true
 	return broker.Submit{Session: c.id, Request: broker.Request{Fresh: fresh, Ref: s.Ref, Class: s.Service, Tenant: s.Project,
 		Idem: s.Replay, Order: s.Lookup, Group: s.Group, Work: time.Duration(s.EffortMS * float64(time.Millisecond)),
-		MemoryMB: s.RAMMB, Sent: sent, Allow: time.Duration(s.AllowMS) * time.Millisecond, Body: s.Text}}
+		MemoryMB: s.RAMMB, Again: s.Again, Sent: sent, Allow: time.Duration(s.AllowMS) * time.Millisecond, Body: s.Text}}
 }
 
 // sinceReceived is how long ago the kernel took the last bytes in: a client's wait begins when it sent them,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,9 @@
 	sweptAt time.Time
 	stopAt  time.Time // when SIGTERM came
 	scratch []byte
+	meter   Meter
+	ends    ends
+	over    chan struct{} // closed once nothing of Run goes on
 
 	mu        sync.Mutex // guards what follows
 	changelog string     // address of the change log
@@ -70,7 +73,7 @@
 	}
 	n := &Node{cfg: cfg, log: log, b: b, inbox: make(chan func(), inboxSize), ln: ln,
 		clients: map[broker.Session]*client{}, nextID: broker.Session(cfg.Seed), slots: make(chan struct{}, slots),
-		changelog: cfg.Changelog, leave: func() {}}
+		changelog: cfg.Changelog, leave: func() {}, meter: unmeasured{}, over: make(chan struct{})}
 	n.pool = newPool(n)
 	return n, nil
 }
@@ -82,6 +85,7 @@
 
 // Run serves until ctx ends or, after a value on stop, until all that was taken is answered.
 func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
+	defer close(n.over)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.group, ctx = errgroup.WithContext(ctx)
@@ -138,6 +142,7 @@
 			stop = nil
 			n.stop()
 		case f := <-n.inbox:
+			n.meter.Waiting(len(n.inbox) + 1)
 			f()
 			for range min(len(n.inbox), mostAtOnce) {
 				(<-n.inbox)()
@@ -147,7 +152,9 @@
 		n.settle()
 		// Guards against time-outs judged before the answers that came while the process stood still are read,
 		// and requests of one key, written 60 ms apart at the least, taken in another order.
-		switch t := now(); {
+		t := now()
+		n.meter.Lag(t - due)
+		switch {
 		case !behind && t-due > standstill:
 			behind, due = true, t+catchUp
 			timer.Reset(catchUp)
@@ -220,6 +227,7 @@
 		case broker.Probe:
 			n.pool.probe(e)
 		case broker.DropUnsent:
+			n.pool.drains(e.Engine)
 			n.pool.dropUnsent(e.Engine)
 		case broker.DropEngine:
 			n.pool.drop(e.Engine)
@@ -256,9 +264,10 @@
 }
 
 // ended writes the one log line of a connection.
-func (n *Node) ended(side, peer string, began time.Time, err error) {
+func (n *Node) ended(side Side, peer string, began time.Time, err error) {
 	reason := reasonOf(err)
-	fields := []zap.Field{zap.String("side", side), zap.String("peer", peer), zap.String("reason", string(reason)),
+	n.ends.add(side, reason)
+	fields := []zap.Field{zap.String("side", string(side)), zap.String("peer", peer), zap.String("reason", string(reason)),
 		zap.Duration("lasted", time.Since(began))}
 	if reason == Failed || reason == Malformed || reason == HTTPStatus || reason == ConnectFailed {
 		fields = append(fields, zap.Error(err))
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -38,6 +38,7 @@
 	conns map[string][]*upstream // by engine
 	count int
 	out   map[broker.Attempt]*stream
+	left  map[string]*drain // engines that drain, as long as they are there
 }
 
 // upstream is a connection to an engine, or one that is coming up.
@@ -53,6 +54,7 @@
 	used         time.Time
 	heard        time.Time // when a word last came; the time it came up before that
 	doubtAt      time.Time // when it was asked whether it is alive; zero: it is, as far as is known
+	drain        *drain    // what was put before its engine's drain has not left yet; nil: it has, or there is none
 }
 
 // stream is an attempt or a probe on its connection.
@@ -70,7 +72,7 @@
 }
 
 func newPool(n *Node) pool {
-	return pool{n: n, conns: map[string][]*upstream{}, out: map[broker.Attempt]*stream{}}
+	return pool{n: n, conns: map[string][]*upstream{}, out: map[broker.Attempt]*stream{}, left: map[string]*drain{}}
 }
 
 // want sends an attempt.
@@ -87,6 +89,7 @@
 	}
 	s := &stream{id: w.Ref, attempt: w.Attempt, message: resp.Append(nil, "want", w.Ref, string(fields), w.Body)}
 	p.out[w.Attempt] = s
+	delete(p.left, w.Engine) // it is in service again
 	p.start(w.Engine, w.Addr, s)
 }
 
@@ -165,7 +168,7 @@
 		if ctx.Err() != nil && n.ctx.Err() == nil {
 			err = c.why // set before the context ended
 		}
-		n.ended("engine", addr, began, err)
+		n.ended(EngineSide, addr, began, err)
 		return nil
 	})
 	return c
@@ -201,6 +204,7 @@
 		return
 	}
 	c.gone = true
+	p.drained(c, time.Time{})
 	p.count--
 	p.conns[c.engine] = slices.DeleteFunc(p.conns[c.engine], func(o *upstream) bool { return o == c })
 	if len(p.conns[c.engine]) == 0 {
@@ -373,6 +377,7 @@
 
 // drop closes all connections to an engine.
 func (p *pool) drop(engine string) {
+	delete(p.left, engine)
 	for _, c := range slices.Clone(p.conns[engine]) {
 		p.close(c, EngineGone)
 	}
@@ -469,6 +474,7 @@
 func (p *pool) answer(c *upstream, a resp.Answer) {
 	s := c.streams[a.ID]
 	if s == nil || s.done || s.ending {
+		p.n.meter.SecondCopy(c.engine)
 		return
 	}
 	report := resp.Report(a.Load, p.n.cfg.Settings.Control.ReportFields)
--- /dev/null
+++ b/internal/standin/collector/carbon.go
@@ -0,0 +1,239 @@
+package collector
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wheatlane/internal/graphite"
+)
+
+// Mode is how a stand-in behaves.
+type Mode string
+
+// The modes of stand-ins.
+const (
+	Serve   Mode = "serve"
+	Gone    Mode = "gone"    // nothing listens, and open connections are reset
+	Mute    Mode = "mute"    // connections are accepted and never read
+	Slow    Mode = "slow"    // read at some 2 KB a second
+	Tear    Mode = "tear"    // each connection is reset in the middle of a line
+	Lossy   Mode = "lossy"   // a third of the datagrams is lost
+	Shuffle Mode = "shuffle" // datagrams come out of order
+)
+
+const (
+	slowBytes  = 256
+	slowEvery  = 125 * time.Millisecond
+	tearAfter  = 10_000 // bytes; the connection is reset at the next byte that is inside of a line
+	mostUnread = 2 << 20
+)
+
+// Carbon is a stand-in for a carbon server.
+type Carbon struct {
+	Form   graphite.Form
+	Pickle bool
+	ledger *Ledger
+
+	mu    sync.Mutex
+	mode  Mode
+	addr  string
+	turn  chan struct{} // closed when the mode changes
+	conns map[net.Conn]bool
+	Conns int // connections that were accepted; read it once Run has ended
+}
+
+// NewCarbon returns one that listens at an address; port 0 is any, and the one taken is kept when it comes back.
+func NewCarbon(address string, form graphite.Form, pickle bool, ledger *Ledger) (*Carbon, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("stand-in: %w", err)
+	}
+	defer ln.Close()
+	return &Carbon{Form: form, Pickle: pickle, ledger: ledger, mode: Serve, addr: ln.Addr().String(),
+		turn: make(chan struct{}), conns: map[net.Conn]bool{}}, nil
+}
+
+// Addr is where it listens.
+func (c *Carbon) Addr() string { return c.addr }
+
+// Set changes how it behaves.
+func (c *Carbon) Set(m Mode) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.mode = m
+	close(c.turn)
+	c.turn = make(chan struct{})
+	if m == Gone {
+		for nc := range c.conns {
+			reset(nc)
+		}
+	}
+}
+
+func (c *Carbon) now() (Mode, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mode, c.turn
+}
+
+// reset closes a connection as a process does that is killed.
+func reset(nc net.Conn) {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		tcp.SetLinger(0) //nolint:errcheck // it is closed next
+	}
+	nc.Close()
+}
+
+// Run serves until ctx ends.
+func (c *Carbon) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		for ctx.Err() == nil {
+			mode, turn := c.now()
+			if mode == Gone {
+				select {
+				case <-ctx.Done():
+				case <-turn:
+				}
+				continue
+			}
+			ln, err := net.Listen("tcp", c.addr)
+			if err != nil {
+				return fmt.Errorf("stand-in: %w", err)
+			}
+			c.accept(ctx, g, ln)
+		}
+		return nil
+	})
+	return g.Wait()
+}
+
+// accept takes connections until the mode is Gone or ctx ends.
+func (c *Carbon) accept(ctx context.Context, g *errgroup.Group, ln net.Listener) {
+	done := make(chan struct{})
+	g.Go(func() error {
+		defer ln.Close()
+		for {
+			mode, turn := c.now()
+			if mode == Gone {
+				return nil
+			}
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-done:
+				return nil
+			case <-turn:
+			}
+		}
+	})
+	defer close(done)
+	for {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		c.mu.Lock()
+		c.conns[nc] = true
+		c.Conns++
+		if c.mode == Gone {
+			reset(nc)
+		}
+		c.mu.Unlock()
+		g.Go(func() error {
+			stop := context.AfterFunc(ctx, func() { nc.Close() })
+			defer stop()
+			c.read(ctx, nc)
+			nc.Close()
+			c.mu.Lock()
+			delete(c.conns, nc)
+			c.mu.Unlock()
+			return nil
+		})
+	}
+}
+
+// read reads a connection as the mode has it.
+func (c *Carbon) read(ctx context.Context, nc net.Conn) {
+	var buf []byte
+	b := make([]byte, 16<<10)
+	total := 0
+	for ctx.Err() == nil {
+		mode, turn := c.now()
+		part := b
+		switch mode {
+		case Mute:
+			select {
+			case <-ctx.Done():
+			case <-turn:
+			}
+			continue
+		case Slow:
+			part = b[:slowBytes]
+			select {
+			case <-ctx.Done():
+			case <-turn:
+			case <-time.After(slowEvery):
+			}
+		case Tear:
+			part = b[:1]
+			if total < tearAfter {
+				part = b[:min(len(b), tearAfter-total)]
+			}
+		}
+		n, err := nc.Read(part)
+		total += n
+		buf = append(buf, part[:n]...)
+		rest, bad := c.take(buf)
+		buf = append(buf[:0], rest...)
+		switch {
+		case bad != nil:
+			c.ledger.Broken(bad.Error())
+			return
+		case err != nil:
+			return // what is left of a line is dropped, as carbon does
+		case mode == Tear && total >= tearAfter && len(buf) > 0:
+			reset(nc)
+			return
+		}
+	}
+}
+
+// take takes what came whole off buf.
+func (c *Carbon) take(buf []byte) ([]byte, error) {
+	for {
+		var all []graphite.Sample
+		var size int
+		var err error
+		if c.Pickle {
+			all, size, err = graphite.ParsePickle(buf)
+		} else {
+			var s graphite.Sample
+			s, size, err = graphite.ParseLine(buf)
+			all = []graphite.Sample{s}
+		}
+		switch {
+		case err != nil:
+			return nil, err
+		case size == 0 && len(buf) > mostUnread:
+			return nil, errors.New("a message without end")
+		case size == 0:
+			return buf, nil
+		}
+		buf = buf[size:]
+		for _, s := range all {
+			n, err := c.Form.Parse(s.Path)
+			if err != nil {
+				c.ledger.Unknown(s.Path)
+				continue
+			}
+			c.ledger.Take(n, s.Value, s.At)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/collector/ledger.go
@@ -0,0 +1,286 @@
+// Package collector plays the systems that figures are sent to: a carbon server and a collectd with the network
+// plugin, written from their published formats. They keep what they get in a Ledger, which holds it against the rules
+// that the catalogue of figures states, and they fail on demand as real ones do.
+package collector
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"wheatlane/internal/graphite"
+	"wheatlane/internal/metrics"
+)
+
+// Sample is one value as a collector got it.
+type Sample struct {
+	Arrived time.Duration // since the collector's start
+	Name    graphite.Name
+	Value   float64
+	At      int64 // seconds of Unix time, as the broker says
+}
+
+// Ledger keeps samples. It may be used from several goroutines.
+type Ledger struct {
+	mu       sync.Mutex
+	began    time.Time
+	samples  []Sample
+	dropped  int
+	unknown  map[string]int // names that the catalogue lacks
+	broken   map[string]int // what could not be read
+	onSample func(Sample)
+	changed  chan struct{}
+}
+
+const (
+	mostSamples = 2 << 20 // older ones are let go of, and counted
+	mostFaults  = 100     // texts of faults kept
+)
+
+// NewLedger returns an empty one. onSample, if there is one, is given each sample as it comes.
+func NewLedger(onSample func(Sample)) *Ledger {
+	return &Ledger{began: time.Now(), unknown: map[string]int{}, broken: map[string]int{}, onSample: onSample,
+		changed: make(chan struct{})}
+}
+
+// Take keeps a sample.
+func (l *Ledger) Take(n graphite.Name, value float64, at int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Sample{Arrived: time.Since(l.began), Name: n, Value: value, At: at}
+	if len(l.samples) >= mostSamples {
+		l.dropped += len(l.samples) / 2
+		l.samples = append(l.samples[:0:0], l.samples[len(l.samples)/2:]...)
+	}
+	l.samples = append(l.samples, s)
+	if l.onSample != nil {
+		l.onSample(s)
+	}
+	l.wake()
+}
+
+// wake lets those go on that wait for something new.
+func (l *Ledger) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// Changed is closed when something new comes.
+func (l *Ledger) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+func count(in map[string]int, text string) {
+	if _, known := in[text]; known || len(in) < mostFaults {
+		in[text]++
+	}
+}
+
+// Unknown counts a name that is not in the catalogue.
+func (l *Ledger) Unknown(text string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count(l.unknown, text)
+	l.wake()
+}
+
+// Broken counts what could not be read.
+func (l *Ledger) Broken(why string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count(l.broken, why)
+	l.wake()
+}
+
+// Empty forgets all samples, as a collector that restarts without its disk.
+func (l *Ledger) Empty() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.samples = nil
+}
+
+// Samples are those kept, in the order in which they came.
+func (l *Ledger) Samples() []Sample {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.samples)
+}
+
+// Run is one life of a broker, from its start to its end or the next start.
+type Run struct {
+	Broker  string
+	Started int64 // seconds of Unix time
+	// Intervals are those that came whole, by their numbers. One that waited may stand for several.
+	Intervals []*Interval
+	Last      uint64 // the highest number
+	Of        uint64 // intervals that those which came stand for
+	Series    int
+}
+
+// Missing is how many intervals the numbers tell of that nothing stands for.
+func (r *Run) Missing() int64 { return int64(r.Last) - int64(r.Of) }
+
+// Interval is what came of one.
+type Interval struct {
+	Number  uint64
+	At      int64
+	Arrived time.Duration // of its first sample
+	Of      uint64
+	Values  map[metrics.Series]float64            // counters and gauges
+	Spreads map[metrics.Series]map[string]float64 // distributions, by what is told of them
+}
+
+// Total is a counter of the run summed over its names and parts: the last value of each of its series.
+func (r *Run) Total(id metrics.ID) (sum float64) {
+	for _, v := range r.Totals(id) {
+		sum += v
+	}
+	return sum
+}
+
+// Totals are the last values of a counter's series.
+func (r *Run) Totals(id metrics.ID) map[metrics.Series]float64 {
+	last := map[metrics.Series]float64{}
+	for _, v := range r.Intervals {
+		for s, x := range v.Values {
+			if s.Figure == id {
+				last[s] = x
+			}
+		}
+	}
+	return last
+}
+
+// Findings are what a ledger says of all that came.
+type Findings struct {
+	Samples, Dropped int
+	Doubled          int // samples that came twice
+	Incomplete       int // stamps without a start or a number: their intervals did not come whole
+	Unknown, Broken  map[string]int
+	Runs             []*Run // by broker and start
+	Faults           []string
+}
+
+// OK tells whether no rule was broken.
+func (f *Findings) OK() bool { return len(f.Faults) == 0 && len(f.Unknown) == 0 && len(f.Broken) == 0 }
+
+// stamp holds what came under one time of one broker.
+type stamp struct {
+	broker  string
+	at      int64
+	arrived time.Duration
+	values  map[metrics.Series]float64
+	spreads map[metrics.Series]map[string]float64
+}
+
+// Judge holds all that came against the rules: each interval tells its number and the broker's start; counters never
+// fall within a run; the numbers rise with the stamps' order of arrival or stand for what was folded.
+func (l *Ledger) Judge() *Findings {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Judge(l.samples, l.dropped, l.unknown, l.broken)
+}
+
+// Judge is Ledger.Judge for samples that were recorded.
+func Judge(samples []Sample, dropped int, unknown, broken map[string]int) *Findings {
+	f := &Findings{Samples: len(samples), Dropped: dropped, Unknown: maps.Clone(unknown), Broken: maps.Clone(broken)}
+	fault := func(format string, args ...any) {
+		if len(f.Faults) < mostFaults {
+			f.Faults = append(f.Faults, fmt.Sprintf(format, args...))
+		}
+	}
+	type key struct {
+		broker string
+		at     int64
+	}
+	stamps := map[key]*stamp{}
+	for _, s := range samples {
+		k := key{s.Name.Broker, s.At}
+		st := stamps[k]
+		if st == nil {
+			st = &stamp{broker: k.broker, at: k.at, arrived: s.Arrived, values: map[metrics.Series]float64{},
+				spreads: map[metrics.Series]map[string]float64{}}
+			stamps[k] = st
+		}
+		if metrics.Catalogue[s.Name.Series.Figure].Kind != metrics.Spread {
+			if old, there := st.values[s.Name.Series]; there && old == s.Value {
+				f.Doubled++
+			}
+			st.values[s.Name.Series] = s.Value
+			continue
+		}
+		if st.spreads[s.Name.Series] == nil {
+			st.spreads[s.Name.Series] = map[string]float64{}
+		}
+		if old, there := st.spreads[s.Name.Series][s.Name.Stat]; there && old == s.Value {
+			f.Doubled++
+		}
+		st.spreads[s.Name.Series][s.Name.Stat] = s.Value
+	}
+	type life struct {
+		broker  string
+		started int64
+	}
+	runs := map[life]*Run{}
+	for _, st := range stamps {
+		started, a := st.values[metrics.Series{Figure: metrics.Started}]
+		number, b := st.values[metrics.Series{Figure: metrics.Sequence}]
+		of, c := st.values[metrics.Series{Figure: metrics.Folded}]
+		if !a || !b || !c {
+			f.Incomplete++
+			continue
+		}
+		k := life{st.broker, int64(started)}
+		if runs[k] == nil {
+			runs[k] = &Run{Broker: k.broker, Started: k.started}
+		}
+		runs[k].Intervals = append(runs[k].Intervals, &Interval{Number: uint64(number), At: st.at, Arrived: st.arrived, Of: uint64(of),
+			Values: st.values, Spreads: st.spreads})
+	}
+	f.Runs = slices.SortedFunc(maps.Values(runs), func(a, b *Run) int {
+		return cmp.Or(cmp.Compare(a.Broker, b.Broker), cmp.Compare(a.Started, b.Started))
+	})
+	for _, r := range f.Runs {
+		r.judge(fault)
+	}
+	return f
+}
+
+// judge orders a run's intervals and holds them against the rules.
+func (r *Run) judge(fault func(string, ...any)) {
+	slices.SortFunc(r.Intervals, func(a, b *Interval) int { return cmp.Compare(a.Number, b.Number) })
+	last := map[metrics.Series]float64{}
+	for i, v := range r.Intervals {
+		if i > 0 && v.Number == r.Intervals[i-1].Number {
+			fault("%s, start %d: interval %d came under the times %d and %d", r.Broker, r.Started, v.Number, r.Intervals[i-1].At, v.At)
+		}
+		r.Last = max(r.Last, v.Number)
+		r.Of += v.Of
+		for s, x := range v.Values {
+			if metrics.Catalogue[s.Figure].Kind != metrics.Counter {
+				continue
+			}
+			if was, there := last[s]; there && x < was {
+				fault("%s, start %d: %s of %q fell from %v to %v at interval %d", r.Broker, r.Started,
+					metrics.Catalogue[s.Figure].Name, s.Name, was, x, v.Number)
+			}
+			last[s] = x
+		}
+		for s, told := range v.Spreads {
+			if len(told) == len(metrics.Stats) && !(told["min"] <= told["p50"] && told["p50"] <= told["p95"] &&
+				told["p95"] <= told["p99"]*(1+2*metrics.Accuracy) && told["p99"] <= told["max"]*(1+2*metrics.Accuracy)) {
+				fault("%s, start %d: the quantiles of %s of %q are out of order: %v", r.Broker, r.Started,
+					metrics.Catalogue[s.Figure].Name, s.Name, told)
+			}
+		}
+	}
+	if r.Of > r.Last {
+		fault("%s, start %d: intervals that came stand for %d, more than the %d there were", r.Broker, r.Started, r.Of, r.Last)
+	}
+	r.Series = len(last)
+}
--- /dev/null
+++ b/internal/telemetry/reporter.go
@@ -0,0 +1,208 @@
+package telemetry
+
+import (
+	"context"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"wheatlane/internal/broker"
+	"wheatlane/internal/collectd"
+	"wheatlane/internal/delivery"
+	"wheatlane/internal/graphite"
+	"wheatlane/internal/metrics"
+	"wheatlane/internal/node"
+	"wheatlane/internal/operator"
+)
+
+// Looker lets a function look at the reducer and the sockets on the goroutine that owns them; see node.Node.Look.
+type Looker interface {
+	Look(ctx context.Context, f func(*broker.Broker, node.Sockets)) bool
+}
+
+// Clock tells the time by the wall and by a clock that is never set, and when intervals end.
+type Clock struct {
+	Wall func() time.Duration // since 1970
+	Mono func() time.Duration
+	Tick func(every time.Duration) (c <-chan time.Time, reset func(every time.Duration), stop func())
+}
+
+// SystemClock is the system's.
+func SystemClock() Clock {
+	start := time.Now()
+	return Clock{
+		// Guards against Go's own correction: without its reading of the monotonic clock, a time is that of the wall.
+		Wall: func() time.Duration { return time.Duration(time.Now().Round(0).UnixNano()) },
+		Mono: func() time.Duration { return time.Since(start) },
+		Tick: func(every time.Duration) (<-chan time.Time, func(time.Duration), func()) {
+			t := time.NewTicker(every)
+			return t.C, t.Reset, t.Stop
+		},
+	}
+}
+
+// Reporter cuts off intervals and brings them to destinations.
+type Reporter struct {
+	broker   string
+	clock    Clock
+	recorder *Recorder
+	look     Looker
+	log      *zap.Logger
+	seed     uint64
+	names    operator.Names
+	reloads  chan *operator.Telemetry
+
+	dests map[string]*destination
+	group *errgroup.Group
+}
+
+// Limits are those of the names that have series of their own.
+func Limits(n operator.Names) metrics.Limits {
+	return metrics.Limits{Classes: n.Classes, Tenants: n.Tenants, Engines: n.Engines, DataSets: n.DataSets,
+		Idle: time.Duration(n.IdleS) * time.Second}
+}
+
+// New returns a reporter for a broker of a name, and the recorder that it reads.
+func New(name string, n operator.Names, look Looker, clock Clock, seed uint64, log *zap.Logger) (*Reporter, *Recorder) {
+	rec := NewRecorder(Limits(n), clock.Wall(), clock.Mono())
+	return &Reporter{broker: name, clock: clock, recorder: rec, look: look, log: log, seed: seed, names: n,
+		reloads: make(chan *operator.Telemetry), dests: map[string]*destination{}}, rec
+}
+
+// plans are the destinations of a file.
+func (r *Reporter) plans(t *operator.Telemetry) []plan {
+	var all []plan
+	if t == nil {
+		return nil
+	}
+	for _, g := range t.Graphite {
+		g := g
+		key := g
+		key.Address = ""
+		all = append(all, plan{name: g.Name, address: g.Address, form: key,
+			transport: &carbon{graphite.Encoder{Form: graphite.Form{Prefix: g.Prefix, Tags: g.Tags}, Broker: r.broker,
+				Pickle: g.Protocol == "pickle"}},
+			cfg: delivery.Config{Budget: g.BudgetKB << 10, LeastPause: leastPause, MostPause: mostPause,
+				WriteTimeout: time.Duration(g.WriteTimeoutMS) * time.Millisecond, ReplayRate: g.ReplayKBps << 10}})
+	}
+	levels := map[string]collectd.Level{"none": collectd.Plain, "sign": collectd.Sign, "encrypt": collectd.Encrypt}
+	for _, c := range t.Collectd {
+		key := c
+		key.Address = ""
+		all = append(all, plan{name: c.Name, address: c.Address, form: key,
+			transport: &network{r.broker, collectd.Security{Level: levels[c.Security], User: c.User, Password: c.Password}},
+			// collectd takes no value that is older than the last: what waits is folded into the newest.
+			cfg: delivery.Config{Budget: c.BudgetKB << 10, Most: 1, LeastPause: leastPause, MostPause: mostPause,
+				WriteTimeout: dialTimeout, ReplayRate: c.BudgetKB << 10}})
+	}
+	return all
+}
+
+// Run reports until ctx ends or over is closed, after which the last interval has a little time to leave. stopping
+// says that the broker finishes what it has taken.
+func (r *Reporter) Run(ctx context.Context, t *operator.Telemetry, stopping, over <-chan struct{}) error {
+	r.group, ctx = errgroup.WithContext(ctx)
+	r.group.Go(func() error { return r.loop(ctx, t, stopping, over) })
+	return r.group.Wait()
+}
+
+// Reload takes over another setting of destinations and of the interval. Those that stay keep what waits.
+func (r *Reporter) Reload(ctx context.Context, t *operator.Telemetry) {
+	select {
+	case r.reloads <- t:
+	case <-ctx.Done():
+	}
+}
+
+const unreported = time.Hour // between cuts where there is no destination
+
+func (r *Reporter) loop(ctx context.Context, t *operator.Telemetry, stopping, over <-chan struct{}) error {
+	tick, reset, stop := r.clock.Tick(r.set(ctx, t))
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick:
+			r.cut(ctx)
+		case t := <-r.reloads:
+			reset(r.set(ctx, t))
+		case <-stopping:
+			// What is there leaves now: the end may come too soon for all of it.
+			stopping = nil
+			r.cut(ctx)
+		case <-over:
+			r.cut(ctx)
+			for _, d := range r.sorted() {
+				d.tell(ctx, delivery.Stop{Within: stopWait})
+			}
+			return nil
+		}
+	}
+}
+
+// set starts, moves and ends destinations, and returns the length of an interval.
+func (r *Reporter) set(ctx context.Context, t *operator.Telemetry) time.Duration {
+	wanted := map[string]bool{}
+	for _, p := range r.plans(t) {
+		wanted[p.name] = true
+		d := r.dests[p.name]
+		switch {
+		case d != nil && !reflect.DeepEqual(d.plan.form, p.form):
+			// Another form: what waits was held under the old budget, and is written to the old place as far as it goes.
+			d.tell(ctx, delivery.Stop{Within: stopWait})
+			fallthrough
+		case d == nil:
+			r.seed++
+			d = newDestination(p, r.seed, r.log)
+			r.dests[p.name] = d
+			r.group.Go(func() error { return d.run(ctx) })
+		case d.plan.address != p.address:
+			d.plan.address = p.address
+			d.tell(ctx, move{p.address})
+		}
+	}
+	for _, d := range r.sorted() {
+		if !wanted[d.plan.name] {
+			d.tell(ctx, delivery.Stop{Within: stopWait})
+			delete(r.dests, d.plan.name)
+		}
+	}
+	if t == nil {
+		return unreported
+	}
+	if t.Names != r.names {
+		r.log.Warn("telemetry.names takes effect at the next start")
+	}
+	return t.Interval()
+}
+
+func (r *Reporter) sorted() []*destination {
+	all := make([]*destination, 0, len(r.dests))
+	for _, d := range r.dests {
+		all = append(all, d)
+	}
+	slices.SortFunc(all, func(a, b *destination) int { return strings.Compare(a.plan.name, b.plan.name) })
+	return all
+}
+
+// cut ends an interval and offers it to each destination.
+func (r *Reporter) cut(ctx context.Context) {
+	stats := make(map[string]delivery.Stats, len(r.dests))
+	for name, d := range r.dests {
+		stats[name] = *d.stats.Load()
+	}
+	var v *metrics.Interval
+	if !r.look.Look(ctx, func(b *broker.Broker, s node.Sockets) {
+		v = r.recorder.Cut(r.clock.Wall(), r.clock.Mono(), b, s, stats)
+	}) {
+		return
+	}
+	for _, d := range r.sorted() {
+		d.tell(ctx, delivery.Offer{Interval: v})
+	}
+}
