Show the broker at work: a demo with stand-in engines, change log, clients and a page of charts

Need: nobody could try the broker without a platform, and figures could not be seen without a Graphite of one's own.

--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,14 @@
 BUILD = $(shell sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)
 RUN = $(shell sed -n 's/^run = "\(.*\)".*$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build test lint run
+.PHONY: build demo test lint run
 
 build:
 	$(BUILD)
 
+demo: build
+	bin/wheatlane demo
+
 test:
 	go test -race -count=1 ./...
 
--- a/cmd/wheatlane/main.go
+++ b/cmd/wheatlane/main.go
@@ -65,7 +65,7 @@
 	serves(c)
 	serve := &cobra.Command{Use: "serve", Short: "Serve clients until SIGTERM", Args: takes(cobra.NoArgs)}
 	serves(serve)
-	c.AddCommand(serve, metricsCommand(), configCommand(), standinCommand())
+	c.AddCommand(serve, metricsCommand(), configCommand(), standinCommand(), reportCommand(), demoCommand())
 	return c
 }
 
--- a/cmd/wheatlane/serve.go
+++ b/cmd/wheatlane/serve.go
@@ -15,9 +15,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"wheatlane/internal/config"
-	"wheatlane/internal/node"
 	"wheatlane/internal/operator"
-	"wheatlane/internal/telemetry"
+	"wheatlane/internal/service"
 )
 
 // heapPart is the part of the memory limit at which the runtime collects harder; the rest is for what it
@@ -73,31 +72,18 @@
 
 	stop, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	n, err := node.New(context.Background(), cfg, log)
+	broker, err := service.New(context.Background(), cfg, own, log)
 	if err != nil {
 		return err
 	}
-	log.Info("serving", zap.Stringer("listen", n.Addr()), zap.Int64("seq", cfg.Known.Seq))
+	log.Info("serving", zap.Stringer("listen", broker.Node.Addr()), zap.Int64("seq", cfg.Known.Seq))
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	g, ctx := errgroup.WithContext(ctx)
-	over := make(chan struct{}) // closed when the broker has finished
-	tasks, rest := errgroup.WithContext(ctx)
-	var reporter *telemetry.Reporter
-	if own != nil {
-		var rec *telemetry.Recorder
-		reporter, rec = telemetry.New(cfg.Name, own.Names(), n, telemetry.SystemClock(), cfg.Seed, log)
-		n.Measure(rec)
-		tasks.Go(func() error { return reporter.Run(rest, own.Telemetry, stop.Done(), over) })
-	}
-	tasks.Go(func() error {
-		defer close(over)
-		return n.Run(rest, stop.Done())
-	})
-	g.Go(func() error { return reload(ctx, hup, n, reporter, path, log) })
+	g.Go(func() error { return reload(ctx, hup, broker, path, log) })
 	g.Go(func() error {
 		defer end()
-		return tasks.Wait()
+		return broker.Run(ctx, stop.Done())
 	})
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
 		return err
@@ -108,7 +94,7 @@
 
 // reload reads both files again at each SIGHUP. A faulty one changes nothing, and holds the other one back no more
 // than itself.
-func reload(ctx context.Context, hup <-chan os.Signal, n *node.Node, reporter *telemetry.Reporter, path string, log *zap.Logger) error {
+func reload(ctx context.Context, hup <-chan os.Signal, broker *service.Service, path string, log *zap.Logger) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -118,9 +104,9 @@
 		if cfg, err := config.Load(os.Getenv); err != nil {
 			log.Error("not reloaded, the configuration before stays", zap.Error(err))
 		} else {
-			n.Reload(ctx, cfg)
+			broker.Reload(ctx, cfg)
 		}
-		if reporter == nil {
+		if path == "" {
 			continue
 		}
 		own, err := operator.Load(path)
@@ -128,7 +114,7 @@
 			log.Error("not reloaded, the operator's file before stays", zap.Error(err))
 			continue
 		}
-		reporter.Reload(ctx, own.Telemetry)
+		broker.ReloadOwn(ctx, own)
 		log.Info("operator's file reloaded", zap.String("file", path))
 	}
 }
--- a/cmd/wheatlane/standin.go
+++ b/cmd/wheatlane/standin.go
@@ -16,11 +16,14 @@
 	"wheatlane/internal/collectd"
 	"wheatlane/internal/graphite"
 	"wheatlane/internal/standin/collector"
+	"wheatlane/internal/standin/fleet"
+	"wheatlane/internal/standin/script"
+	"wheatlane/internal/standin/troupe"
 )
 
 func standinCommand() *cobra.Command {
 	return group("standin", "Play a system that the broker talks to, on this machine, with faults",
-		standinGraphite(), standinCollectd())
+		standinGraphite(), standinCollectd(), standinEngines(), standinChangelog())
 }
 
 // standin is what stand-ins for collectors share.
@@ -36,35 +39,18 @@
 	c.Flags().DurationVar(&s.most, "for", time.Hour, "end after this time at the latest")
 }
 
-// step is a change of mode.
-type step struct {
-	at   time.Duration
-	mode collector.Mode
-}
+// emptied has a collector forget what came, as one that starts again without its disk.
+const emptied = "empty"
 
-const emptied collector.Mode = "empty" // forget what came, as one that starts again without its disk
-
-func parseFaults(text string) (all []step, err error) {
-	if text == "" {
-		return nil, nil
-	}
-	modes := map[collector.Mode]bool{collector.Serve: true, collector.Gone: true, collector.Mute: true, collector.Slow: true,
-		collector.Tear: true, collector.Lossy: true, collector.Shuffle: true, emptied: true}
-	for part := range strings.SplitSeq(text, ",") {
-		when, mode, _ := strings.Cut(part, ":")
-		at, err := time.ParseDuration(when)
-		if err != nil || !modes[collector.Mode(mode)] || len(all) > 0 && at < all[len(all)-1].at {
-			return nil, fmt.Errorf("faults: %q is no TIME:MODE, or comes before the one ahead of it", part)
-		}
-		all = append(all, step{at, collector.Mode(mode)})
-	}
-	return all, nil
-}
+// collectorVerbs are what a collector can be told to do.
+var collectorVerbs = map[string]bool{string(collector.Serve): false, string(collector.Gone): false, string(collector.Mute): false,
+	string(collector.Slow): false, string(collector.Tear): false, string(collector.Lossy): false, string(collector.Shuffle): false,
+	emptied: false}
 
 // run plays a collector until a signal or its time, then says what came.
 func (s *standin) run(c *cobra.Command, ledger *collector.Ledger, recording *collector.Recording, addr string,
 	set func(collector.Mode), serve func(context.Context) error) error {
-	steps, err := parseFaults(s.faults)
+	steps, err := script.Parse(s.faults, collectorVerbs, 0)
 	if err != nil {
 		return &usageError{c.CommandPath(), err}
 	}
@@ -76,21 +62,15 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve(ctx) })
 	g.Go(func() error {
-		began := time.Now()
-		for _, st := range steps {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-time.After(time.Until(began.Add(st.at))):
-			}
-			fmt.Fprintln(c.OutOrStdout(), st.at, st.mode)
-			if st.mode == emptied {
+		return script.Play(ctx, steps, func(st script.Step) error {
+			fmt.Fprintln(c.OutOrStdout(), st)
+			if st.Do == emptied {
 				ledger.Empty()
-				continue
+				return nil
 			}
-			set(st.mode)
-		}
-		return nil
+			set(collector.Mode(st.Do))
+			return nil
+		})
 	})
 	err = g.Wait()
 	if recording != nil {
@@ -198,3 +178,86 @@
 	}
 	return c
 }
+
+func standinEngines() *cobra.Command {
+	var n int
+	var list, faults string
+	var most time.Duration
+	c := &cobra.Command{Use: "engines", Short: "Query engines, and the list of them for 'wheatlane standin changelog'", Args: takes(cobra.NoArgs)}
+	c.Flags().IntVar(&n, "n", 4, "how many")
+	c.Flags().StringVar(&list, "list", "engines.json", "file to write the list to")
+	c.Flags().StringVar(&faults, "faults", "", "what to do when to which, as in 30s:slow:2,60s:quick:2; slow, quick, silent, speak, drain, crash, back, moved")
+	c.Flags().DurationVar(&most, "for", time.Hour, "end after this time at the latest")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		steps, err := script.Parse(faults, troupe.Verbs, n)
+		if err != nil {
+			return &usageError{c.CommandPath(), err}
+		}
+		ctx, cancel := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
+		defer cancel()
+		ctx, stop := context.WithTimeout(ctx, most)
+		defer stop()
+		var all *troupe.Troupe
+		if all, err = troupe.New(n, nil, func(fleet.Host) error { return fleet.WriteFile(list, all.Hosts()) }); err != nil {
+			return err
+		}
+		if err := fleet.WriteFile(list, all.Hosts()); err != nil {
+			return err
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%d engines, listed in %s\n", n, list)
+		g, ctx := errgroup.WithContext(ctx)
+		g.Go(func() error { return all.Run(ctx) })
+		g.Go(func() error {
+			return script.Play(ctx, steps, func(st script.Step) error {
+				fmt.Fprintln(c.OutOrStdout(), st)
+				return all.Do(ctx, st)
+			})
+		})
+		return g.Wait()
+	}
+	return c
+}
+
+func standinChangelog() *cobra.Command {
+	var list, listen, faults string
+	var late, most time.Duration
+	verbs := map[string]bool{string(fleet.Serve): false, string(fleet.Break): false, string(fleet.Stall): false, string(fleet.Refuse): false}
+	c := &cobra.Command{Use: "changelog", Short: "A change log that tells what becomes of a list of engines", Args: takes(cobra.NoArgs)}
+	c.Flags().StringVar(&list, "list", "engines.json", "the list, as 'wheatlane standin engines' keeps it")
+	c.Flags().StringVar(&listen, "listen", "127.0.0.1:4222", "address and port")
+	c.Flags().StringVar(&faults, "faults", "", "how to behave when, as in 30s:stall,60s:serve; serve, break, stall, refuse")
+	c.Flags().DurationVar(&late, "late", 0, "tell each change so long after it happened")
+	c.Flags().DurationVar(&most, "for", time.Hour, "end after this time at the latest")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		steps, err := script.Parse(faults, verbs, 0)
+		if err != nil {
+			return &usageError{c.CommandPath(), err}
+		}
+		hosts, err := fleet.ReadFile(list)
+		if err != nil {
+			return err
+		}
+		changes, err := fleet.New(listen, hosts, nil)
+		if err != nil {
+			return err
+		}
+		changes.Late(late)
+		ctx, cancel := signal.NotifyContext(c.Context(), syscall.SIGTERM, syscall.SIGINT)
+		defer cancel()
+		ctx, stop := context.WithTimeout(ctx, most)
+		defer stop()
+		fmt.Fprintf(c.OutOrStdout(), "listening on %s, %d engines\n", changes.Addr(), len(hosts))
+		g, ctx := errgroup.WithContext(ctx)
+		g.Go(func() error { return changes.Run(ctx) })
+		g.Go(func() error { return changes.Follow(ctx, list, hosts) })
+		g.Go(func() error {
+			return script.Play(ctx, steps, func(st script.Step) error {
+				fmt.Fprintln(c.OutOrStdout(), st)
+				changes.Set(fleet.Mode(st.Do))
+				return nil
+			})
+		})
+		return g.Wait()
+	}
+	return c
+}
--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,40 @@
+package demo
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"wheatlane/internal/standin/script"
+)
+
+// The whole of it, as a newcomer starts it: requests of all classes are served, faults happen, no rule is broken, and the
+// report is there.
+func TestDemo(t *testing.T) {
+	dir := t.TempDir()
+	steps, err := script.Parse("300ms:slow:2,500ms:drain:1,600ms:collector-gone,900ms:collector-serve", Verbs(), 3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := Run(t.Context(), &lockedWriter{w: &out}, Options{Dir: dir, Engines: 3, Rate: 40, Seed: 7, For: 1500 * time.Millisecond, Script: steps}); err != nil {
+		t.Fatalf("%v\n%s", err, out.String())
+	}
+	for _, want := range []string{"--- 300ms slow 2", "served", "report: " + filepath.Join(dir, reportFile)} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is not said:\n%s", want, out.String())
+		}
+	}
+	page, err := os.ReadFile(filepath.Join(dir, reportFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"No rule was broken.", "Latency against the wanted time", "<svg", "lookup"} {
+		if !bytes.Contains(page, []byte(want)) {
+			t.Errorf("the report has no %q", want)
+		}
+	}
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -41,12 +41,12 @@
 }
 
 func TestDefaults(t *testing.T) {
-	f, err := Parse([]byte(`{"telemetry":{"graphite":[{"name":"a","address":"127.0.0.1:2003"}],
+	f, err := Parse([]byte(`{"telemetry":{"interval_ms":1000,"graphite":[{"name":"a","address":"127.0.0.1:2003"}],
 		"collectd":[{"name":"b","address":"[::1]:25826"}]}}`))
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := &Telemetry{IntervalMS: 10_000, Names: Names{16, 32, 32, 32, 600},
+	want := &Telemetry{IntervalMS: 1000, Names: Names{16, 32, 32, 32, 600},
 		Graphite: []Graphite{{Name: "a", Address: "127.0.0.1:2003", Protocol: "plaintext", Prefix: "wheatlane", BudgetKB: 512,
 			ReplayKBps: 64, WriteTimeoutMS: 5000}},
 		Collectd: []Collectd{{Name: "b", Address: "[::1]:25826", Security: "none", BudgetKB: 256}}}
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -249,6 +249,9 @@
 		c.err = errors.Join(c.err, fmt.Errorf("schema: %w", err))
 		return
 	}
+	if n, ok := v.(json.Number); ok {
+		v = number(n) // the library takes a json.Number for the text that it is
+	}
 	if err := r.Validate(v); err != nil {
 		text := err.Error()
 		if _, after, ok := strings.Cut(text, ": "); ok && strings.HasPrefix(text, "validating") {
--- /dev/null
+++ b/internal/standin/referee/referee.go
@@ -0,0 +1,203 @@
+// Package referee holds what clients, engines and the change log saw against the rules of the protocol: what came
+// of it is judged by none of the broker's own books. It does no I/O and reads no clock.
+package referee
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Rules are the figures of the rules.
+type Rules struct {
+	DrainGrace  time.Duration // nothing new goes to an engine so long after its drain was told
+	Slack       time.Duration // what sockets and clocks add to each time
+	MostTries   int           // attempts of a request
+	KeyedWindow time.Duration // engines drop repeats of a keyed request for so long
+}
+
+// Outcome is how a request ended at its client.
+type Outcome string
+
+// The outcomes.
+const (
+	Served  Outcome = "served"
+	Refused Outcome = "refused"
+	Failed  Outcome = "failed"
+	Left    Outcome = "left"  // the client stopped waiting
+	Lost    Outcome = "lost"  // the connection ended without an answer
+	Wrong   Outcome = "wrong" // served with what no engine made for it
+)
+
+// Request is what a client asked.
+type Request struct {
+	Ref, Class, Key string
+	Once            bool // its class may not run twice
+	At              time.Time
+	Allow           time.Duration
+	Out             Outcome
+	Ended           time.Time
+}
+
+type run struct {
+	ref, engine string
+	from, to    time.Time
+}
+
+// Referee keeps what happened. It may be used from several goroutines.
+type Referee struct {
+	mu       sync.Mutex
+	rules    Rules
+	requests map[string]*Request
+	runs     []*run
+	open     map[[2]string]*run // by engine and request
+	drains   map[string]time.Time
+}
+
+// New returns one that has seen nothing.
+func New(r Rules) *Referee {
+	return &Referee{rules: r, requests: map[string]*Request{}, open: map[[2]string]*run{}, drains: map[string]time.Time{}}
+}
+
+// Asked says that a client has written a request.
+func (r *Referee) Asked(q Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requests[q.Ref] = &q
+}
+
+// Answered says how a request ended at its client.
+func (r *Referee) Answered(ref string, out Outcome, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if q := r.requests[ref]; q != nil {
+		q.Out, q.Ended = out, at
+	}
+}
+
+// Wanted says that an engine took a request.
+func (r *Referee) Wanted(engine, ref string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := &run{ref: ref, engine: engine, from: at}
+	r.runs = append(r.runs, n)
+	r.open[[2]string{engine, ref}] = n
+}
+
+// Ended says that an engine wrote the end of a request, or that it was given up there.
+func (r *Referee) Ended(engine, ref string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := [2]string{engine, ref}
+	if n := r.open[k]; n != nil {
+		n.to = at
+		delete(r.open, k)
+	}
+}
+
+// Draining says that brokers were told that an engine drains or is gone.
+func (r *Referee) Draining(engine string, at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.drains[engine]; !known {
+		r.drains[engine] = at
+	}
+}
+
+// InService says that an engine takes work, again or anew.
+func (r *Referee) InService(engine string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.drains, engine)
+}
+
+// Verdict is what a referee found.
+type Verdict struct {
+	Requests int
+	Outcomes map[Outcome]int
+	Attempts int
+	Breaches []string
+}
+
+const mostBreaches = 50
+
+// Judge holds all that happened up to now against the rules. Requests that are open are no breach until their time has
+// passed.
+func (r *Referee) Judge(now time.Time) Verdict {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := Verdict{Requests: len(r.requests), Outcomes: map[Outcome]int{}, Attempts: len(r.runs)}
+	breach := func(format string, args ...any) {
+		if len(v.Breaches) < mostBreaches {
+			v.Breaches = append(v.Breaches, fmt.Sprintf(format, args...))
+		}
+	}
+	for _, ref := range slices.Sorted(maps.Keys(r.requests)) {
+		q := r.requests[ref]
+		v.Outcomes[q.Out]++
+		switch {
+		case q.Out == Lost || q.Out == Wrong:
+			breach("request %s of %s: %s", ref, q.Class, q.Out)
+		case q.Out == "" && now.Sub(q.At) > q.Allow+r.rules.Slack:
+			breach("request %s of %s has no answer after %v", ref, q.Class, now.Sub(q.At))
+		}
+	}
+	r.judgeRuns(breach)
+	r.judgeOrder(breach)
+	return v
+}
+
+// judgeRuns looks at each attempt by itself and at how many there are.
+func (r *Referee) judgeRuns(breach func(string, ...any)) {
+	tries := map[string]int{}
+	for _, n := range r.runs {
+		tries[n.ref]++
+		q := r.requests[n.ref]
+		if q == nil {
+			breach("engine %s was asked %s, which no client asked", n.engine, n.ref)
+			continue
+		}
+		if told, drains := r.drains[n.engine]; drains && n.from.Sub(told) > r.rules.DrainGrace+r.rules.Slack {
+			breach("engine %s was asked %s %v after its drain was told", n.engine, n.ref, n.from.Sub(told))
+		}
+	}
+	for _, ref := range slices.Sorted(maps.Keys(tries)) {
+		q := r.requests[ref]
+		if q != nil && r.rules.MostTries > 0 && tries[ref] > r.rules.MostTries {
+			breach("request %s of %s: %d attempts", ref, q.Class, tries[ref])
+		}
+		if q != nil && q.Once && tries[ref] > 1 {
+			breach("request %s of %s, which may run once: %d attempts", ref, q.Class, tries[ref])
+		}
+	}
+}
+
+// judgeOrder looks at requests of one key: one runs at a time, in the order in which they were asked.
+func (r *Referee) judgeOrder(breach func(string, ...any)) {
+	keys := map[string][]*run{}
+	for _, n := range r.runs {
+		if q := r.requests[n.ref]; q != nil && q.Key != "" {
+			keys[q.Key] = append(keys[q.Key], n)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(keys)) {
+		runs := keys[key]
+		slices.SortFunc(runs, func(a, b *run) int { return cmp.Or(a.from.Compare(b.from), cmp.Compare(a.ref, b.ref)) })
+		for i, b := range runs {
+			for _, a := range runs[:i] {
+				if a.ref == b.ref {
+					continue
+				}
+				if a.to.IsZero() || a.to.After(b.from) {
+					breach("key %s: %s ran at %s while %s ran at %s", key, b.ref, b.engine, a.ref, a.engine)
+				}
+				if r.requests[a.ref].At.After(r.requests[b.ref].At) {
+					breach("key %s: %s ran ahead of %s, which was asked before it", key, a.ref, b.ref)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/troupe/troupe.go
@@ -0,0 +1,120 @@
+// Package troupe plays several engines together with what the change log has to tell of them: each fault of an engine
+// that a change log would come to know of is published, a little later than it happened.
+package troupe
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"wheatlane/internal/standin/engine"
+	"wheatlane/internal/standin/fleet"
+	"wheatlane/internal/standin/script"
+)
+
+// Verbs are what can be done to engines.
+var Verbs = map[string]bool{"slow": true, "quick": true, "silent": true, "speak": true, "drain": true, "crash": true,
+	"back": true, "moved": true}
+
+const (
+	slowFactor = 4
+	noticed    = 2 * time.Second // a crash is in the change log so long after it
+)
+
+// Kind is the kind of the engines, as settings name it.
+const Kind = "std-8core"
+
+// Classes are the classes of the chart service, as its engines run them.
+var Classes = []engine.Class{
+	{Name: "lookup", Work: 65 * time.Millisecond, Threads: 1, Rows: 4, Waits: true},
+	{Name: "route-report", Work: 3 * time.Second, Threads: 4, Rows: 250},
+	{Name: "survey-load", Work: 3800 * time.Millisecond, Threads: 2, Rows: 1, Load: true},
+}
+
+// Size is that of an engine of the chart service.
+var Size = engine.Config{Cores: 8, Knee: 1.9, Sessions: 64, Repeat: 15 * time.Second, Warm: 15 * time.Second, ColdFrom: 0.33}
+
+// Troupe is the engines.
+type Troupe struct {
+	engines []*engine.Server
+	publish func(fleet.Host) error
+	mu      sync.Mutex
+	hosts   []fleet.Host
+}
+
+// New returns so many engines, warm and in service. publish is called with each host that changes.
+func New(n int, watch engine.Watcher, publish func(fleet.Host) error) (*Troupe, error) {
+	t := &Troupe{publish: publish}
+	for i := range n {
+		e, err := engine.NewServer(fmt.Sprintf("s-%08x", 0xe0000000+i+1), Classes, Size, watch)
+		if err != nil {
+			return nil, err
+		}
+		t.engines = append(t.engines, e)
+		t.hosts = append(t.hosts, fleet.Host{ID: e.ID, Addr: e.Addr(), Site: "east", Class: Kind, Share: 4, Health: "in_service"})
+	}
+	return t, nil
+}
+
+// Hosts is the list of engines as it is now.
+func (t *Troupe) Hosts() []fleet.Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]fleet.Host(nil), t.hosts...)
+}
+
+// Run plays the engines until ctx ends.
+func (t *Troupe) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, e := range t.engines {
+		g.Go(func() error { return e.Run(ctx) })
+	}
+	return g.Wait()
+}
+
+// tell changes a host and publishes it.
+func (t *Troupe) tell(i int, change func(*fleet.Host)) error {
+	t.mu.Lock()
+	change(&t.hosts[i])
+	h := t.hosts[i]
+	t.mu.Unlock()
+	return t.publish(h)
+}
+
+// Do carries out a step; it returns once the change log has been told what it is to know.
+func (t *Troupe) Do(ctx context.Context, s script.Step) error {
+	i := s.Target - 1
+	e := t.engines[i]
+	switch s.Do {
+	case "slow":
+		e.Slow(slowFactor)
+	case "quick":
+		e.Slow(1)
+	case "silent":
+		e.Silence(true)
+	case "speak":
+		e.Silence(false)
+	case "drain":
+		return t.tell(i, func(h *fleet.Host) { h.Health = "terminating" })
+	case "crash":
+		e.Crash()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(noticed):
+		}
+		return t.tell(i, func(h *fleet.Host) { h.Health = "terminated" })
+	case "back", "moved":
+		e.Crash() // one that only drained ends first
+		if err := e.Return(s.Do == "moved"); err != nil {
+			return err
+		}
+		return t.tell(i, func(h *fleet.Host) {
+			h.Health, h.Addr, h.BornMS = "in_service", e.Addr(), time.Now().UnixMilli()
+		})
+	}
+	return nil
+}
