Measure figures, go on at a line's edge after a stall, and say how to run it

What the kernel held of a connection that was given up went out all the same once the collector read on, and again on the next connection: it is called back now (SO_LINGER 0), and a test with a collector that stops reading in the middle finds it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD = $(shell sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)
 RUN = $(shell sed -n 's/^run = "\(.*\)".*$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build demo test lint run
+.PHONY: build demo test lint run measure-telemetry
 
 build:
 	$(BUILD)
@@ -18,3 +18,6 @@
 
 run: build
 	$(RUN)
+
+measure-telemetry: build
+	go run ./measure/telemetry
--- a/cmd/wheatlane/main_test.go
+++ b/cmd/wheatlane/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -13,11 +14,15 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
+
+	"wheatlane/internal/graphite"
+	"wheatlane/internal/standin/collector"
 )
 
 // TestMain lets the test's own binary be the program.
 func TestMain(m *testing.M) {
-	if os.Getenv("RELAY_CONFIG") != "" {
+	if os.Getenv("RELAY_CONFIG") != "" || os.Getenv("WHEATLANE_TEST_MAIN") != "" {
 		main()
 		return
 	}
@@ -153,3 +158,145 @@
 		t.Fatal(err)
 	}
 }
+
+// Wrong use ends with 2 and says what to look at; what can't be done ends with 1; what can, with 0 and nothing on
+// standard error.
+func TestExitCodes(t *testing.T) {
+	dir := t.TempDir()
+	bad := filepath.Join(dir, "bad.json")
+	if err := os.WriteFile(bad, []byte(`{"telemetry":{"interval":1}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		args string
+		code int
+		says string
+	}{
+		{"--version", 0, "wheatlane version"},
+		{"--help", 0, "Available Commands"},
+		{"completion bash", 0, "bash completion"},
+		{"metrics list", 0, "in_time_share"},
+		{"metrics list --json", 0, `"name": "in_time_share"`},
+		{"metrics types", 0, "wheatlane_answers"},
+		{"config schema", 0, `"interval_ms"`},
+		{"config check ../../deploy/operator.json", 0, "good"},
+		{"config check " + bad, 1, "telemetry.interval: unknown key"},
+		{"config check " + dir + "/none.json", 1, "none.json"},
+		{"report " + bad, 1, "not a recording"},
+		{"standin graphite --for 1ms --listen 127.0.0.1:0", 0, "listening on"},
+		{"serve", 1, "RELAY_CONFIG: not set"},
+		{"bogus", 2, `unknown command "bogus"`},
+		{"--bogus", 2, "unknown flag"},
+		{"metrics", 2, "a command is missing"},
+		{"config check", 2, "accepts 1 arg(s)"},
+		{"metrics list --json --markdown", 2, "two forms of one list"},
+		{"standin graphite --faults 1s:odd", 2, `"odd" is none of`},
+		{"demo --engines 0", 2, "1 to 32 engines"},
+	} {
+		cmd := exec.CommandContext(t.Context(), os.Args[0], strings.Fields(c.args)...)
+		cmd.Env = append(os.Environ(), "WHEATLANE_TEST_MAIN=1")
+		var out, errs strings.Builder
+		cmd.Stdout, cmd.Stderr = &out, &errs
+		cmd.Run() //nolint:errcheck // the code tells
+		if code := cmd.ProcessState.ExitCode(); code != c.code {
+			t.Errorf("%s: exit code %d, want %d: %s", c.args, code, c.code, errs.String())
+		}
+		said, silent := out.String(), errs.String()
+		if c.code != 0 {
+			said, silent = errs.String(), ""
+		}
+		if !strings.Contains(said, c.says) || silent != "" {
+			t.Errorf("%s: %q is not said in %q; %q", c.args, c.says, said, silent)
+		}
+	}
+}
+
+// The program with an operator's file tells a collector of itself; a faulty file at SIGHUP changes nothing, a good one
+// moves it; and at SIGTERM its last interval leaves.
+func TestReportsToACollector(t *testing.T) {
+	standIn := func() (*collector.Carbon, *collector.Ledger) {
+		ledger := collector.NewLedger(nil)
+		c, err := collector.NewCarbon("127.0.0.1:0", graphite.Form{Prefix: "wheatlane"}, false, ledger)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- c.Run(ctx) }()
+		t.Cleanup(func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+		return c, ledger
+	}
+	first, one := standIn()
+	second, two := standIn()
+	cmd := program(t, some)
+	own := filepath.Join(t.TempDir(), "operator.json")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(own, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(fmt.Sprintf(`{"telemetry":{"interval_ms":1000,"graphite":[{"name":"g","address":%q}]}}`, first.Addr()))
+	cmd.Args = append(cmd.Args, "--operator", own)
+	logs, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(logs)
+	line(t, lines, `"serving"`)
+	heard := func(l *collector.Ledger, what string, ok func(*collector.Findings) bool) {
+		t.Helper()
+		late := time.After(20 * time.Second)
+		for {
+			changed := l.Changed()
+			if ok(l.Judge()) {
+				return
+			}
+			select {
+			case <-changed:
+			case <-late:
+				t.Fatalf("%s: not heard", what)
+			}
+		}
+	}
+	some := func(f *collector.Findings) bool { return len(f.Runs) == 1 && f.Runs[0].Broker == "n1" }
+	heard(one, "a first interval", some)
+	for _, step := range []struct{ text, logged string }{
+		{`{"telemetry":{"interval_ms":1}}`, "telemetry.interval_ms: 1 is less than 1000"},
+		{fmt.Sprintf(`{"telemetry":{"interval_ms":1000,"graphite":[{"name":"g","address":%q}]}}`, second.Addr()), "operator's file reloaded"},
+	} {
+		write(step.text)
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		line(t, lines, step.logged)
+	}
+	heard(two, "an interval at the new place", some)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	ended := line(t, lines, "destination ended")
+	line(t, lines, `"stopped"`)
+	if err := cmd.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(ended, `"lost":0`) {
+		t.Errorf("at the end: %s", ended)
+	}
+	heard(two, "the last interval", func(f *collector.Findings) bool {
+		return some(f) && strings.Contains(ended, fmt.Sprintf(`"delivered":%d,`, f.Runs[0].Last))
+	})
+	for _, l := range []*collector.Ledger{one, two} {
+		if f := l.Judge(); !f.OK() {
+			t.Errorf("%v %v %v", f.Faults, f.Unknown, f.Broken)
+		}
+	}
+}
--- a/cmd/wheatlane/metrics.go
+++ b/cmd/wheatlane/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"text/tabwriter"
 
@@ -12,12 +13,19 @@
 )
 
 func metricsCommand() *cobra.Command {
-	var asJSON bool
+	var asJSON, asMarkdown bool
 	list := &cobra.Command{Use: "list", Short: "Print the catalogue of figures", Args: takes(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
+			if asJSON && asMarkdown {
+				return &usageError{c.CommandPath(), errors.New("--json and --markdown are two forms of one list")}
+			}
 			if asJSON {
 				return printCatalogue(c)
 			}
+			if asMarkdown {
+				_, err := fmt.Fprint(c.OutOrStdout(), metrics.Markdown())
+				return err
+			}
 			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
 			fmt.Fprintln(w, "NAME\tKIND\tUNIT\tBY\tDETAIL\tMEANING")
 			for _, f := range metrics.Catalogue {
@@ -26,6 +34,7 @@
 			return w.Flush()
 		}}
 	list.Flags().BoolVar(&asJSON, "json", false, "as JSON, with the details of each figure")
+	list.Flags().BoolVar(&asMarkdown, "markdown", false, "as a table for a page")
 	types := &cobra.Command{Use: "types", Short: "Print the types.db file that collectd needs", Args: takes(cobra.NoArgs),
 		RunE: func(c *cobra.Command, _ []string) error {
 			_, err := fmt.Fprint(c.OutOrStdout(), collectd.TypesDB())
--- a/internal/delivery/delivery_test.go
+++ b/internal/delivery/delivery_test.go
@@ -191,6 +191,20 @@
 	r.want(t, "open 1", "write 1 of 1 from 0", "open 2", "write 1 of 1 from 17")
 }
 
+// Guards against lines counted in an interval that is not the one they were of.
+func TestWhatIsOutInPartIsNotFolded(t *testing.T) {
+	cfg := config()
+	cfg.Most = 3
+	r := newRig(cfg)
+	r.offer(1)
+	r.apply(Opened{1}, Broken{1, 5})
+	r.offer(6)
+	r.pass(time.Second)
+	r.apply(Opened{2}, Wrote{2})
+	r.pass(time.Second)
+	r.want(t, "open 1", "write 1 of 1 from 0", "open 2", "write 7 of 1 from 0", "write 1 of 1 from 5")
+}
+
 // What is going on now goes ahead of what has waited, which goes at a pace that grows.
 func TestTheMomentGoesAheadOfTheBacklog(t *testing.T) {
 	cfg := config()
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -69,31 +68,12 @@
 	{Engine: troupe.Classes[2], Rate: 0.06, Wanted: 8700 * time.Millisecond, Allow: 25 * time.Second, Keys: 40},
 }
 
-var tenants = []string{"fishing-fleet", "harbour-office"}
-
 const (
 	dataSets = 24
 	mostOpen = 256
 	perLine  = time.Second
 )
 
-// settings words the deployment as the platform does.
-func settings() json.RawMessage {
-	return json.RawMessage(`{"PeersTotal":1,"RoundNs":5000000,"MachineTypes":["` + troupe.Kind + `"],
- "Domain":{"SizeCores":[8],"KindMemoryMb":[16384],"WidthByClass":[1,4,2],"ClassLoad":[false,false,true],
-  "YieldsToLoads":[true,false,false],"SaysCost":true},
- "Stats":{"Fields":["queue","x1","x0"]},
- "Limits":{"Cancel":true,"MaxAttempts":4,"MaxRetryAfterNs":500000000,"RetryAfter":true,"ParallelTries":true,"Probing":true,
-  "ConnectTimeoutNs":250000000,"ConnIdleNs":30000000000,"MaxStreams":100},
- "Rules":{"ColdFrom":0.33,"WarmAfterNs":15000000000,"FallMultiple":2.5,"FallNs":1000000000},
- "Tenants":[{"Name":"fishing-fleet","Share":0.59},{"Name":"harbour-office","Share":0.41}],
- "RequestClasses":[
-  {"Name":"lookup","Effect":"repeatable","PromiseNs":400000000,"AimStretch":1.5,"GiveUpNs":2000000000,"Worth":1,"LateWorth":0.3},
-  {"Name":"route-report","Effect":"repeatable","PromiseNs":2000000000,"AimStretch":2.5,"GiveUpNs":20000000000,"Worth":15,"LateWorth":0.3},
-  {"Name":"survey-load","Effect":"by_key","WindowNs":15000000000,"PromiseNs":3000000000,"AimStretch":3,"GiveUpNs":25000000000,
-   "Worth":20,"LateWorth":0.3,"ByArrival":true}]}`)
-}
-
 // watcher tells the referee what engines see.
 type watcher struct{ r *referee.Referee }
 
@@ -174,18 +154,12 @@
 
 // start writes the broker's files and reads them as a broker does.
 func (s *show) start(ctx context.Context, logs io.Writer) error {
-	known, err := s.changes.Known()
+	text, err := troupe.Configuration("demo", s.o.Seed, s.changes)
 	if err != nil {
 		return err
 	}
-	text, err := json.MarshalIndent(map[string]any{"name": "demo", "listen": "127.0.0.1:0", "seed": fmt.Sprintf("%x", s.o.Seed),
-		"changelog": s.changes.Addr(), "known": known, "settings": settings(),
-		"limits": map[string]int{"memory_mb": 192, "sockets": 1024}}, "", "  ")
-	if err != nil {
-		return fmt.Errorf("demo: %w", err)
-	}
 	path, own := filepath.Join(s.o.Dir, configFile), filepath.Join(s.o.Dir, operatorFile)
-	if err := os.WriteFile(path, append(text, '\n'), 0o644); err != nil {
+	if err := os.WriteFile(path, text, 0o644); err != nil {
 		return fmt.Errorf("demo: %w", err)
 	}
 	ownText := fmt.Sprintf("{\n  \"telemetry\": {\n    \"interval_ms\": 1000,\n    \"graphite\": [{\"name\": \"demo\", \"address\": %q, \"tags\": true}]\n  }\n}\n",
@@ -215,7 +189,7 @@
 		c.Rate *= s.o.Rate
 		mine[i] = c
 	}
-	s.load = client.New(client.Config{Addr: s.broker.Node.Addr().String(), Classes: mine, Tenants: tenants, DataSets: dataSets,
+	s.load = client.New(client.Config{Addr: s.broker.Node.Addr().String(), Classes: mine, Tenants: troupe.Tenants, DataSets: dataSets,
 		Seed: s.o.Seed, MostOpen: mostOpen, Retries: 2}, s.judge)
 	return nil
 }
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -3,6 +3,11 @@
 // does no I/O and reads no clock, and recording on the path of a request allocates nothing.
 package metrics
 
+import (
+	"fmt"
+	"strings"
+)
+
 // Kind says how a figure behaves.
 type Kind int
 
@@ -220,3 +225,19 @@
 	}
 	return 0, false
 }
+
+// Markdown is the catalogue as a table, which the operators' page holds.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("| figure | kind | unit | by | detail | meaning |\n| --- | --- | --- | --- | --- | --- |\n")
+	for _, f := range Catalogue {
+		detail := f.Detail
+		if f.Detail == "reason" {
+			detail += ": a reason code of the log"
+		} else if len(f.Parts) > 0 {
+			detail += ": " + strings.Join(f.Parts, ", ")
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s |\n", f.Name, f.Kind, f.Unit, f.By, detail, f.Help)
+	}
+	return b.String()
+}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -271,3 +273,14 @@
 	}
 	b.ReportMetric(float64(one.Bytes()), "bytes/interval")
 }
+
+// The operators' page has the catalogue as it is.
+func TestTheOperatorsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators/telemetry.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), Markdown()) {
+		t.Error("docs/operators/telemetry.md lacks the table that 'wheatlane metrics list --markdown' prints")
+	}
+}
--- a/internal/names/names_test.go
+++ b/internal/names/names_test.go
@@ -48,10 +48,13 @@
 		l := newLedger(cfg)
 		last := map[string]uint64{} // what was last told of a name, and when
 		told := map[string]time.Duration{}
+		truth := map[string]uint64{}
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			if rapid.IntRange(0, 9).Draw(t, "cut") > 0 {
-				l.add(fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "name")), now)
+				name := fmt.Sprint(rapid.IntRange(0, 20).Draw(t, "name"))
+				truth[name]++
+				l.add(name, now)
 				continue
 			}
 			now += rapid.SampledFrom([]time.Duration{time.Second, 2 * time.Minute, 30 * time.Minute, 3 * time.Hour}).Draw(t, "gap")
@@ -60,6 +63,9 @@
 				if n < last[name] && now-told[name] < cfg.Rest {
 					t.Fatalf("%s fell from %d to %d after %v", name, last[name], n, now-told[name])
 				}
+				if n > truth[name] {
+					t.Fatalf("%s came %d times, told %d", name, truth[name], n)
+				}
 				last[name], told[name] = n, now
 			}
 			if len(seen) > cfg.Most {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -125,6 +125,7 @@
 // site is a broker with what is round it.
 type site struct {
 	t    *testing.T
+	node *Node
 	addr string
 	log  log
 	logs *observer.ObservedLogs
@@ -143,6 +144,11 @@
 func serve(t *testing.T, hosts ...string) *site { return serveWith(t, 30*time.Second, 1024, hosts...) }
 
 func serveWith(t *testing.T, idle time.Duration, sockets int, hosts ...string) *site {
+	t.Helper()
+	return serveMeasured(t, unmeasured{}, idle, sockets, hosts...)
+}
+
+func serveMeasured(t *testing.T, m Meter, idle time.Duration, sockets int, hosts ...string) *site {
 	t.Helper()
 	set, err := config.DecodeSettings(fmt.Appendf(nil, settings, idle))
 	if err != nil {
@@ -169,6 +175,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	n.Measure(m)
+	s.node = n
 	s.addr = n.Addr().String()
 	go func() { s.done <- n.Run(ctx, s.stop) }()
 	t.Cleanup(func() {
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,91 @@
+package report
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"wheatlane/internal/graphite"
+	"wheatlane/internal/metrics"
+	"wheatlane/internal/standin/collector"
+)
+
+// night is a broker's minute in which route reports go late and refusals come.
+func night() *collector.Findings {
+	var all []collector.Sample
+	add := func(at int64, id metrics.ID, name, stat string, part int, v float64) {
+		all = append(all, collector.Sample{Name: graphite.Name{Broker: "n1", Series: metrics.Series{Figure: id, Name: name, Part: part}, Stat: stat},
+			Value: v, At: at})
+	}
+	for i := range 6 {
+		at, n := int64(1000+10*i), float64(i)
+		add(at, metrics.Started, "", "", 0, 990)
+		add(at, metrics.Sequence, "", "", 0, n+1)
+		add(at, metrics.Folded, "", "", 0, 1)
+		add(at, metrics.Requests, "lookup", "", 0, 100*n)
+		add(at, metrics.Answers, "lookup", "", metrics.InTime, 100*n)
+		add(at, metrics.Answers, "route-report", "", metrics.Late, 30*n)
+		add(at, metrics.Refusals, "", "", metrics.NoRoom, 5*n)
+		for j, stat := range metrics.Stats {
+			add(at, metrics.AimRatio, "lookup", stat, 0, 0.1*float64(j))
+			add(at, metrics.AimRatio, "route-report", stat, 0, 2*float64(j))
+		}
+	}
+	return collector.Judge(all, 0, nil, nil)
+}
+
+// What is worst comes first: the class that is late ahead of the one that is not, latency ahead of what is calm.
+func TestWorstFirst(t *testing.T) {
+	f := night()
+	sections := Sections(f.Runs[0], 1000)
+	if got := sections[0]; got.Title != "Latency against the wanted time" || got.Charts[0].Title != "route-report" {
+		t.Fatalf("first is %s, %s", got.Title, got.Charts[0].Title)
+	}
+	for i := 1; i < len(sections); i++ {
+		if sections[i].worst > sections[i-1].worst {
+			t.Errorf("%s comes after %s", sections[i].Title, sections[i-1].Title)
+		}
+	}
+}
+
+// A rate is what a counter grew by over the time that the interval stands for.
+func TestRates(t *testing.T) {
+	f := night()
+	lines := run{f.Runs[0], 1000}.rates(metrics.Refusals, nil)
+	if len(lines) != 1 || lines[0].Name != "no room" || len(lines[0].X) != 6 {
+		t.Fatalf("%+v", lines)
+	}
+	for i, y := range lines[0].Y {
+		if want := 0.5; i > 0 && y != want || lines[0].X[i] != float64(10*i) {
+			t.Errorf("at %v: %v, want %v", lines[0].X[i], y, want)
+		}
+	}
+}
+
+// The page stands by itself: nothing in it is fetched from elsewhere. Texts from outside can't become markup.
+func TestThePageStandsByItself(t *testing.T) {
+	f := night()
+	f.Faults = []string{"<script>alert(1)</script>"}
+	var b bytes.Buffer
+	if err := Write(&b, "A <b>night</b>", f); err != nil {
+		t.Fatal(err)
+	}
+	page := b.String()
+	for _, bad := range []string{"<script", "src=", "<b>night", "@import", "url("} {
+		if strings.Contains(page, bad) {
+			t.Errorf("the page has %q", bad)
+		}
+	}
+	for _, want := range []string{"<svg", "Rules were broken", "route-report", "&lt;script&gt;"} {
+		if !strings.Contains(page, want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+}
+
+func TestAnEmptyRecording(t *testing.T) {
+	var b bytes.Buffer
+	if err := Write(&b, "Nothing", collector.Judge(nil, 0, nil, nil)); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/standin/client/load.go
+++ b/internal/standin/client/load.go
@@ -41,6 +41,8 @@
 	Seed     uint64
 	MostOpen int // requests at a time; more are not sent, and counted
 	Retries  int // of a request that was refused, after the time that the refusal names
+	// OnEnd, if there is one, is told of each request as it ends.
+	OnEnd func(class string, out referee.Outcome, took time.Duration)
 }
 
 // Tally is what became of requests.
@@ -236,6 +238,9 @@
 	if l.judge != nil {
 		l.judge.Answered(ref, out, time.Now())
 	}
+	if l.cfg.OnEnd != nil {
+		l.cfg.OnEnd(c.Engine.Name, out, took)
+	}
 	l.add(c.Engine.Name, func(t *Tally) {
 		t.Sent++
 		switch out {
--- /dev/null
+++ b/internal/standin/collector/collector_test.go
@@ -0,0 +1,129 @@
+package collector
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"wheatlane/internal/graphite"
+	"wheatlane/internal/metrics"
+)
+
+// told are the samples of an interval: its number, what it stands for, and a counter.
+func told(broker string, started, at int64, number, of, requests float64) []Sample {
+	var all []Sample
+	for _, v := range []struct {
+		id metrics.ID
+		x  float64
+	}{{metrics.Requests, requests}, {metrics.Started, float64(started)}, {metrics.Sequence, number}, {metrics.Folded, of}} {
+		s := metrics.Series{Figure: v.id}
+		if metrics.Catalogue[v.id].By != metrics.Whole {
+			s.Name = "lookup"
+		}
+		all = append(all, Sample{Name: graphite.Name{Broker: broker, Series: s}, Value: v.x, At: at})
+	}
+	return all
+}
+
+func day(parts ...[]Sample) (all []Sample) {
+	for _, p := range parts {
+		all = append(all, p...)
+	}
+	return all
+}
+
+// Each rule finds the breach that is planted for it; what is no breach is not found.
+func TestJudge(t *testing.T) {
+	first, second, third := told("n1", 100, 110, 1, 1, 5), told("n1", 100, 120, 2, 1, 9), told("n1", 100, 130, 3, 1, 12)
+	for _, c := range []struct {
+		name    string
+		samples []Sample
+		want    string // in the one fault
+		missing int64
+	}{
+		{"in order", day(first, second, third), "", 0},
+		{"the newest first", day(third, first, second), "", 0},
+		{"twice", day(first, second, second, third), "", 0},
+		{"folded", day(first, told("n1", 100, 130, 3, 2, 12)), "", 0},
+		{"a gap", day(first, third), "", 1},
+		{"a restart", day(first, second, told("n1", 125, 135, 1, 1, 0), told("n1", 125, 145, 2, 1, 3)), "", 0},
+		{"two brokers", day(first, told("n2", 100, 110, 1, 1, 77)), "", 0},
+		{"the clock set back", day(first, told("n1", 100, 50, 2, 1, 9), told("n1", 100, 60, 3, 1, 10)), "", 0},
+		{"a counter that fell", day(first, second, told("n1", 100, 130, 3, 1, 8)), "requests of \"lookup\" fell from 9 to 8", 0},
+		{"a number under two times", day(first, told("n1", 100, 115, 1, 1, 6)), "interval 1 came under the times", -1},
+		{"more than there were", day(first, told("n1", 100, 120, 2, 5, 9)), "more than the 2 there were", -4},
+	} {
+		f := Judge(c.samples, 0, nil, nil)
+		got := strings.Join(f.Faults, "; ")
+		if c.want == "" && got != "" || c.want != "" && !strings.Contains(got, c.want) {
+			t.Errorf("%s: found %q, want %q", c.name, got, c.want)
+		}
+		if m := f.Runs[0].Missing(); m != c.missing {
+			t.Errorf("%s: %d missing, want %d", c.name, m, c.missing)
+		}
+	}
+	if f := Judge(day(first, second, second), 0, nil, nil); f.Doubled != 4 {
+		t.Errorf("%d came twice", f.Doubled)
+	}
+	if f := Judge(first[:2], 0, nil, nil); f.Incomplete != 1 || len(f.Runs) != 0 {
+		t.Errorf("an interval without its number: %+v", f)
+	}
+}
+
+func TestQuantilesOutOfOrder(t *testing.T) {
+	all := told("n1", 100, 110, 1, 1, 5)
+	for i, stat := range metrics.Stats {
+		all = append(all, Sample{Name: graphite.Name{Broker: "n1", Series: metrics.Series{Figure: metrics.AnswerTime, Name: "lookup"}, Stat: stat},
+			Value: float64(10 - i), At: 110})
+	}
+	if f := Judge(all, 0, nil, nil); len(f.Faults) != 1 || !strings.Contains(f.Faults[0], "out of order") {
+		t.Fatalf("%q", f.Faults)
+	}
+}
+
+// file is a buffer that is closed as a file is.
+type file struct{ bytes.Buffer }
+
+func (*file) Close() error { return nil }
+
+func TestRecordings(t *testing.T) {
+	var f file
+	r, err := NewRecording(&f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want []Sample
+	for i := range 3000 {
+		for _, s := range told(fmt.Sprintf("n %d", i%3), 100, int64(100+i), float64(i), 1, float64(i)*1.5) {
+			s.Arrived = time.Duration(i) * time.Millisecond
+			want = append(want, s)
+			r.Add(s)
+		}
+	}
+	if err := r.Close(); err != nil {
+		t.Fatal(err)
+	}
+	whole := f.Bytes()
+	got, err := ReadRecording(bytes.NewReader(whole))
+	if diff := cmp.Diff(want, got, cmpopts.EquateEmpty()); diff != "" || err != nil {
+		t.Fatal(err, diff)
+	}
+	// One that breaks off, as its collector was killed, is read as far as it goes.
+	got, err = ReadRecording(bytes.NewReader(whole[:len(whole)*3/4]))
+	if !errors.Is(err, ErrRecording) && !errors.Is(err, io.ErrUnexpectedEOF) || len(got) == 0 || len(got) >= len(want) {
+		t.Fatalf("%d of %d, %v", len(got), len(want), err)
+	}
+	if diff := cmp.Diff(want[:len(got)], got); diff != "" {
+		t.Fatal(diff)
+	}
+	if _, err := ReadRecording(strings.NewReader("no recording")); !errors.Is(err, ErrRecording) {
+		t.Fatalf("%v", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/script/script_test.go
@@ -0,0 +1,39 @@
+package script
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var verbs = map[string]bool{"slow": true, "gone": false}
+
+func TestParse(t *testing.T) {
+	got, err := Parse("1s:gone,1.5s:slow:2,90s:gone", verbs, 3)
+	want := []Step{{time.Second, "gone", 0}, {1500 * time.Millisecond, "slow", 2}, {90 * time.Second, "gone", 0}}
+	if diff := cmp.Diff(want, got); diff != "" || err != nil {
+		t.Fatal(diff, err)
+	}
+	for text, why := range map[string]string{
+		"gone": "is no TIME:WHAT", "1s:slow:2:3": "is no TIME:WHAT", "x:gone": "begins with no time", "-1s:gone": "begins with no time",
+		"1s:odd": `"odd" is none of gone, slow`, "1s:slow": "a number belongs", "1s:gone:1": "a number belongs",
+		"1s:slow:4": "no number from 1 to 3", "1s:slow:x": "no number from 1 to 3", "2s:gone,1s:gone": "comes before",
+	} {
+		if got, err := Parse(text, verbs, 3); err == nil || !strings.Contains(err.Error(), why) {
+			t.Errorf("%q: %v, %v, want %q", text, got, err, why)
+		}
+	}
+}
+
+func TestPlay(t *testing.T) {
+	var did []string
+	steps := []Step{{0, "gone", 0}, {time.Millisecond, "slow", 1}}
+	if err := Play(t.Context(), steps, func(s Step) error { did = append(did, s.Do); return nil }); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"gone", "slow"}, did); diff != "" {
+		t.Fatal(diff)
+	}
+}
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -204,3 +204,8 @@
 		}
 	}
 }
+
+// CutAlone ends an interval of a reducer that has no sockets round it.
+func (r *Recorder) CutAlone(now time.Duration, b *broker.Broker) *figures.Interval {
+	return r.Cut(now, now, b, node.Sockets{}, nil)
+}
--- a/internal/telemetry/transport.go
+++ b/internal/telemetry/transport.go
@@ -79,7 +79,12 @@
 
 func (s *carbonSession) ended() <-chan struct{} { return s.over }
 
+// close ends the connection. What the kernel took and the other machine has not acknowledged is called back: it would
+// go out behind our back if that reads on, and the next connection begins with it.
 func (s *carbonSession) close() {
+	if len(s.pending) > 0 {
+		s.nc.SetLinger(0) //nolint:errcheck // it is closed next
+	}
 	s.nc.Close()
 	<-s.over
 }
