Keep what a killed collector recorded, and tell starts to the millisecond

Need: tried as a newcomer would, a collector killed by hand left an empty recording, as the compressor held all of it, and two starts within a second passed for one life.

Change: recordings go to their file each second; started_s has milliseconds; tests of a killed broker, of an engine that leaves while figures are folded, and of what counts as acknowledged.

--- a/cmd/wheatlane/main_test.go
+++ b/cmd/wheatlane/main_test.go
@@ -214,25 +214,8 @@
 // The program with an operator's file tells a collector of itself; a faulty file at SIGHUP changes nothing, a good one
 // moves it; and at SIGTERM its last interval leaves.
 func TestReportsToACollector(t *testing.T) {
-	standIn := func() (*collector.Carbon, *collector.Ledger) {
-		ledger := collector.NewLedger(nil)
-		c, err := collector.NewCarbon("127.0.0.1:0", graphite.Form{Prefix: "wheatlane"}, false, ledger)
-		if err != nil {
-			t.Fatal(err)
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- c.Run(ctx) }()
-		t.Cleanup(func() {
-			cancel()
-			if err := <-done; err != nil {
-				t.Error(err)
-			}
-		})
-		return c, ledger
-	}
-	first, one := standIn()
-	second, two := standIn()
+	first, one := standIn(t)
+	second, two := standIn(t)
 	cmd := program(t, some)
 	own := filepath.Join(t.TempDir(), "operator.json")
 	write := func(text string) {
@@ -252,23 +235,8 @@
 	}
 	lines := bufio.NewScanner(logs)
 	line(t, lines, `"serving"`)
-	heard := func(l *collector.Ledger, what string, ok func(*collector.Findings) bool) {
-		t.Helper()
-		late := time.After(20 * time.Second)
-		for {
-			changed := l.Changed()
-			if ok(l.Judge()) {
-				return
-			}
-			select {
-			case <-changed:
-			case <-late:
-				t.Fatalf("%s: not heard", what)
-			}
-		}
-	}
 	some := func(f *collector.Findings) bool { return len(f.Runs) == 1 && f.Runs[0].Broker == "n1" }
-	heard(one, "a first interval", some)
+	heard(t, one, "a first interval", some)
 	for _, step := range []struct{ text, logged string }{
 		{`{"telemetry":{"interval_ms":1}}`, "telemetry.interval_ms: 1 is less than 1000"},
 		{fmt.Sprintf(`{"telemetry":{"interval_ms":1000,"graphite":[{"name":"g","address":%q}]}}`, second.Addr()), "operator's file reloaded"},
@@ -279,7 +247,7 @@
 		}
 		line(t, lines, step.logged)
 	}
-	heard(two, "an interval at the new place", some)
+	heard(t, two, "an interval at the new place", some)
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
@@ -291,7 +259,7 @@
 	if !strings.Contains(ended, `"lost":0`) {
 		t.Errorf("at the end: %s", ended)
 	}
-	heard(two, "the last interval", func(f *collector.Findings) bool {
+	heard(t, two, "the last interval", func(f *collector.Findings) bool {
 		return some(f) && strings.Contains(ended, fmt.Sprintf(`"delivered":%d,`, f.Runs[0].Last))
 	})
 	for _, l := range []*collector.Ledger{one, two} {
@@ -300,3 +268,65 @@
 		}
 	}
 }
+
+// standIn is a collector to report to.
+func standIn(t *testing.T) (*collector.Carbon, *collector.Ledger) {
+	t.Helper()
+	ledger := collector.NewLedger(nil)
+	c, err := collector.NewCarbon("127.0.0.1:0", graphite.Form{Prefix: "wheatlane"}, false, ledger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return c, ledger
+}
+
+// heard waits until a collector holds what is wanted.
+func heard(t *testing.T, l *collector.Ledger, what string, ok func(*collector.Findings) bool) {
+	t.Helper()
+	late := time.After(20 * time.Second)
+	for {
+		changed := l.Changed()
+		if ok(l.Judge()) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-late:
+			t.Fatalf("%s: not heard", what)
+		}
+	}
+}
+
+// A broker that is killed and started again counts from zero, which a collector can tell from a counter that fell.
+func TestKilledAndStartedAgain(t *testing.T) {
+	carbon, ledger := standIn(t)
+	own := filepath.Join(t.TempDir(), "operator.json")
+	text := fmt.Sprintf(`{"telemetry":{"interval_ms":1000,"graphite":[{"name":"g","address":%q}]}}`, carbon.Addr())
+	if err := os.WriteFile(own, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for life := range 2 {
+		cmd := program(t, some)
+		cmd.Args = append(cmd.Args, "--operator", own)
+		if err := cmd.Start(); err != nil {
+			t.Fatal(err)
+		}
+		heard(t, ledger, "an interval", func(f *collector.Findings) bool { return len(f.Runs) == life+1 })
+		if err := cmd.Process.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		cmd.Wait() //nolint:errcheck // it was killed
+	}
+	if f := ledger.Judge(); !f.OK() || f.Runs[0].Started >= f.Runs[1].Started {
+		t.Fatalf("%+v", f)
+	}
+}
--- a/cmd/wheatlane/standin.go
+++ b/cmd/wheatlane/standin.go
@@ -61,6 +61,9 @@
 	fmt.Fprintln(c.OutOrStdout(), "listening on", addr)
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return serve(ctx) })
+	if recording != nil {
+		g.Go(func() error { return recording.Run(ctx) })
+	}
 	g.Go(func() error {
 		return script.Play(ctx, steps, func(st script.Step) error {
 			fmt.Fprintln(c.OutOrStdout(), st)
@@ -90,7 +93,7 @@
 	fmt.Fprintf(w, "%d samples, %d came twice, %d stamps not whole\n", f.Samples, f.Doubled, f.Incomplete)
 	for _, r := range f.Runs {
 		fmt.Fprintf(w, "broker %q started %s: %d intervals stand for %d of %d, %d series of counters\n", r.Broker,
-			time.Unix(r.Started, 0).UTC().Format(time.RFC3339), len(r.Intervals), r.Of, r.Last, r.Series)
+			time.UnixMilli(r.Started).UTC().Format(time.RFC3339), len(r.Intervals), r.Of, r.Last, r.Series)
 	}
 	if f.OK() {
 		return nil
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -97,6 +97,7 @@
 	engines *troupe.Troupe
 	changes *fleet.Log
 	ledger  *collector.Ledger
+	figures *collector.Recording
 	carbon  *collector.Carbon
 	broker  *service.Service
 	load    *client.Load
@@ -128,7 +129,7 @@
 	if err != nil {
 		return err
 	}
-	s.ledger = collector.NewLedger(recording.Add)
+	s.figures, s.ledger = recording, collector.NewLedger(recording.Add)
 	if s.carbon, err = collector.NewCarbon("127.0.0.1:0", graphite.Form{Prefix: "wheatlane", Tags: true}, false, s.ledger); err != nil {
 		return err
 	}
@@ -204,6 +205,7 @@
 	others.Go(func() error { return s.engines.Run(outer) })
 	others.Go(func() error { return s.changes.Run(outer) })
 	others.Go(func() error { return s.carbon.Run(outer) })
+	others.Go(func() error { return s.figures.Run(outer) })
 	stop := make(chan struct{})
 	broker, inner := errgroup.WithContext(outer)
 	broker.Go(func() error { return s.broker.Run(inner, stop) })
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -101,6 +101,45 @@
 	})
 }
 
+// An engine drains and is gone while figures wait: of what it did nothing is lost in folding, and what it was at some
+// moment is not told of a time at which it was no more.
+func TestAnEngineThatLeavesWhileFiguresAreFolded(t *testing.T) {
+	r := NewRegistry(limits(), 0, 0)
+	count := func(name string, n float64) {
+		slot := r.Slot(Engine, name)
+		r.Add(AttemptEnds, slot, 0, n)
+		r.Observe(EngineTime, slot, 10)
+		r.Set(Bound, slot, 0, 4)
+	}
+	count("stays", 3)
+	count("leaves", 5)
+	before := r.Cut(10*time.Second, 10*time.Second)
+	for i := range 10 { // past the time after which it is idle
+		count("stays", 1)
+		r.Cut(time.Duration(20+10*i)*time.Second, time.Duration(20+10*i)*time.Second)
+	}
+	count("stays", 1)
+	after := r.Cut(200*time.Second, 200*time.Second)
+	v, err := Fold(before, after)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		s    Series
+		want float64
+	}{
+		{Series{Figure: AttemptEnds, Name: "leaves"}, 5}, {Series{Figure: AttemptEnds, Name: "stays"}, 14},
+		{Series{Figure: Bound, Name: "leaves"}, 0}, {Series{Figure: Bound, Name: "stays"}, 4},
+	} {
+		if got := v.Value(c.s); got != c.want {
+			t.Errorf("%s of %s: %v, want %v", Catalogue[c.s.Figure].Name, c.s.Name, got, c.want)
+		}
+	}
+	if after.Value(Series{Figure: AttemptEnds, Name: "leaves"}) != 0 || v.Samples() != 3 {
+		t.Errorf("it did not leave, or %v samples are folded", v.Samples())
+	}
+}
+
 // The promise of the sketch, also of sketches that were merged: a quantile is off by a hundredth at the most.
 func TestQuantilesAreCloseToTheTruth(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -58,7 +58,7 @@
 		}
 	}
 	r.before = make([]float64, len(r.counts[Answers]))
-	r.Set(Started, names.Other, 0, float64(wall/time.Second))
+	r.Set(Started, names.Other, 0, float64(wall/time.Millisecond)/1000)
 	r.Set(Folded, names.Other, 0, 1)
 	return r
 }
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -93,7 +93,7 @@
 				unserved += n
 			}
 		}
-		l := life{Broker: r.Broker, Started: time.Unix(r.Started, 0).UTC().Format(time.RFC3339),
+		l := life{Broker: r.Broker, Started: time.UnixMilli(r.Started).UTC().Format(time.RFC3339),
 			Length: (time.Duration(last-first) * time.Second).String(), Intervals: len(r.Intervals), Of: r.Of, Last: r.Last,
 			Missing: r.Missing(), Requests: r.Total(metrics.Requests), Late: late, Unserved: unserved,
 			Sections: Sections(r, first)}
--- a/internal/standin/collector/collector_test.go
+++ b/internal/standin/collector/collector_test.go
@@ -123,6 +123,18 @@
 	if diff := cmp.Diff(want[:len(got)], got); diff != "" {
 		t.Fatal(diff)
 	}
+	// A collector that was killed has left what came up to a second before.
+	f.Reset()
+	if r, err = NewRecording(&f); err != nil {
+		t.Fatal(err)
+	}
+	r.Add(want[0])
+	if err := r.flush(); err != nil {
+		t.Fatal(err)
+	}
+	if got, err = ReadRecording(bytes.NewReader(f.Bytes())); len(got) != 1 || err == nil {
+		t.Fatalf("%d samples, %v", len(got), err)
+	}
 	if _, err := ReadRecording(strings.NewReader("no recording")); !errors.Is(err, ErrRecording) {
 		t.Fatalf("%v", err)
 	}
--- a/internal/standin/collector/ledger.go
+++ b/internal/standin/collector/ledger.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -114,7 +115,7 @@
 // Run is one life of a broker, from its start to its end or the next start.
 type Run struct {
 	Broker  string
-	Started int64 // seconds of Unix time
+	Started int64 // milliseconds of Unix time
 	// Intervals are those that came whole, by their numbers. One that waited may stand for several.
 	Intervals []*Interval
 	Last      uint64 // the highest number
@@ -235,7 +236,7 @@
 			f.Incomplete++
 			continue
 		}
-		k := life{st.broker, int64(started)}
+		k := life{st.broker, int64(math.Round(started * 1000))}
 		if runs[k] == nil {
 			runs[k] = &Run{Broker: k.broker, Started: k.started}
 		}
--- a/internal/standin/collector/record.go
+++ b/internal/standin/collector/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -34,6 +35,9 @@
 	err  error
 }
 
+// flushEvery is how long samples may stay here before they are in the file, where a collector that is killed leaves them.
+const flushEvery = time.Second
+
 // NewRecording begins one.
 func NewRecording(to io.WriteCloser) (*Recording, error) {
 	z, err := zstd.NewWriter(to, zstd.WithEncoderConcurrency(1))
@@ -41,7 +45,12 @@
 		return nil, fmt.Errorf("recording: %w", err)
 	}
 	r := &Recording{to: to, z: z}
-	_, r.err = fmt.Fprintln(z, recordingHead)
+	if _, err := fmt.Fprintln(z, recordingHead); err != nil {
+		return nil, fmt.Errorf("recording: %w", err)
+	}
+	if err := z.Flush(); err != nil {
+		return nil, fmt.Errorf("recording: %w", err)
+	}
 	return r, nil
 }
 
@@ -59,6 +68,34 @@
 	_, r.err = r.z.Write(r.line)
 }
 
+// Run brings what is added to the file each second, until ctx ends.
+func (r *Recording) Run(ctx context.Context) error {
+	tick := time.NewTicker(flushEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if err := r.flush(); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *Recording) flush() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.err == nil {
+		r.err = r.z.Flush()
+	}
+	if r.err != nil {
+		return fmt.Errorf("recording: %w", r.err)
+	}
+	return nil
+}
+
 // Close ends the recording.
 func (r *Recording) Close() error {
 	r.mu.Lock()
--- a/internal/telemetry/transport.go
+++ b/internal/telemetry/transport.go
@@ -141,27 +141,30 @@
 	if err != nil {
 		return out // nothing new is sure
 	}
-	at -= s.base
 	was := out
-	for len(s.pending) > 0 {
-		p := &s.pending[0]
-		if at >= p.start+int64(len(p.data)) {
-			out = p.next
-			s.pending = s.pending[1:]
-			continue
-		}
-		// A line counts once its end is acknowledged, and a pickle as a whole only.
-		if part := at - p.start; part > 0 && !s.enc.Pickle {
-			out = p.from + bytes.Count(p.data[:part], []byte{'\n'})
-		}
-		break
-	}
+	out, s.pending = acknowledged(s.pending, at-s.base, out, !s.enc.Pickle)
 	if out > was {
 		progress(out)
 	}
 	return out
 }
 
+// acknowledged takes off what was written all that is acknowledged up to an offset, and returns how many records are
+// out. A line counts once its end is acknowledged; other pieces count as a whole only.
+func acknowledged(pending []piece, at int64, out int, lines bool) (int, []piece) {
+	for len(pending) > 0 {
+		p := &pending[0]
+		if at < p.start+int64(len(p.data)) {
+			if part := at - p.start; part > 0 && lines {
+				out = p.from + bytes.Count(p.data[:part], []byte{'\n'})
+			}
+			break
+		}
+		out, pending = p.next, pending[1:]
+	}
+	return out, pending
+}
+
 // acked is how many bytes the other machine has acknowledged, as the kernel counts them.
 func acked(nc *net.TCPConn) (n int64, err error) {
 	raw, err := nc.SyscallConn()
--- a/internal/telemetry/transport_test.go
+++ b/internal/telemetry/transport_test.go
@@ -136,3 +136,20 @@
 		all, b = append(all, some...), b[n:]
 	}
 }
+
+// Whatever offset is acknowledged, what counts as out is what a collector has whole.
+func TestAcknowledged(t *testing.T) {
+	pieces := []piece{{0, 10, 12, []byte("ab 1\ncd 2\n")}, {10, 12, 13, []byte("ef 3\n")}}
+	for at, want := range map[int64][2]int{ // lines, pieces that count as a whole
+		0: {10, 10}, 1: {10, 10}, 4: {10, 10}, 5: {11, 10}, 9: {11, 10}, 10: {12, 12}, 14: {12, 12}, 15: {13, 13}, 99: {13, 13},
+	} {
+		for i, lines := range []bool{true, false} {
+			if got, _ := acknowledged(pieces, at, 10, lines); got != want[i] {
+				t.Errorf("offset %d, lines %v: %d records are out, want %d", at, lines, got, want[i])
+			}
+		}
+	}
+	if _, rest := acknowledged(pieces, 12, 10, true); len(rest) != 1 || rest[0].from != 12 {
+		t.Errorf("left is %+v", rest)
+	}
+}
