--- a/measure/telemetry/endtoend.go
+++ b/measure/telemetry/endtoend.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -42,12 +43,23 @@
 	sent int
 }
 
-// startBroker starts the program with an operator's file, or without one, and waits until it serves.
-func startBroker(ctx context.Context, program, dir, name, own string, changes *fleet.Log) (*brokerProcess, error) {
+// startBroker starts the program with an operator's file, or without one, and waits until it serves. change may alter
+// its configuration.
+func startBroker(ctx context.Context, program, dir, name, own string, changes *fleet.Log, change func(map[string]any)) (*brokerProcess, error) {
 	text, err := troupe.Configuration(name, 1, changes)
 	if err != nil {
 		return nil, err
 	}
+	if change != nil {
+		var file map[string]any
+		if err := json.Unmarshal(text, &file); err != nil {
+			return nil, err
+		}
+		change(file)
+		if text, err = json.Marshal(file); err != nil {
+			return nil, err
+		}
+	}
 	path := filepath.Join(dir, name+".json")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, err
@@ -170,7 +182,7 @@
 				return err
 			}
 		}
-		b, err := startBroker(ctx, program, dir, name, own, changes)
+		b, err := startBroker(ctx, program, dir, name, own, changes, nil)
 		if err != nil {
 			return err
 		}
@@ -187,6 +199,9 @@
 	if err := conserved(ctx, brokers[2], collectors["on"], ledger); err != nil {
 		return err
 	}
+	if err := burst(ctx, program, dir, changes, filepath.Join(dir, "on-operator.json")); err != nil {
+		return err
+	}
 	for _, b := range brokers[:1] {
 		b.cmd.Process.Signal(syscall.SIGTERM) //nolint:errcheck // the context ends it as well
 	}
@@ -247,3 +262,50 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// burst sends requests of ever new customers to a broker of 32 MB, with figures and without, and tells its memory.
+func burst(ctx context.Context, program, dir string, changes *fleet.Log, own string) error {
+	names := make([]string, 100_000)
+	for i := range names {
+		names[i] = fmt.Sprintf("customer-%08d", i)
+	}
+	for _, with := range []string{"off", "on"} {
+		file := ""
+		if with == "on" {
+			file = own
+		}
+		b, err := startBroker(ctx, program, dir, "burst-"+with, file, changes, func(c map[string]any) {
+			c["limits"].(map[string]any)["memory_mb"] = 32
+			delete(c["settings"].(map[string]any), "Tenants")
+		})
+		if err != nil {
+			return err
+		}
+		l := client.New(client.Config{Addr: b.addr, Classes: []client.Class{{Engine: lookups[0], Rate: 4 * rate, Wanted: 400 * time.Millisecond,
+			Allow: 2 * time.Second}}, Tenants: names, DataSets: 5000, Seed: 3, MostOpen: 256}, nil)
+		at, cancel := context.WithTimeout(ctx, 2*slice)
+		err = l.Run(at)
+		cancel()
+		if err != nil {
+			return err
+		}
+		t := l.Tally()[lookups[0].Name]
+		tell("burst_"+with+"_requests", float64(t.Sent), "requests")
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", b.cmd.Process.Pid))
+		if err != nil {
+			return err
+		}
+		for line := range strings.Lines(string(status)) {
+			if kb, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+				var v float64
+				if _, err := fmt.Sscan(kb, &v); err != nil {
+					return err
+				}
+				tell("burst_"+with+"_memory_of_32_MB", v/1024, "MB")
+			}
+		}
+		b.cmd.Process.Kill() //nolint:errcheck // its context ends it as well
+		b.cmd.Wait()         //nolint:errcheck // it was killed
+	}
+	return nil
+}
