--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -32,16 +32,17 @@
 	PeersTotal     int
 	Position       int
 	Zone           string
-	RoundNs        time.Duration
+	RoundNs        time.Duration `limits:"min=0"`
 	MachineTypes   []string
 	Discovery      string
 	RequestClasses []struct {
 		Name                string
-		PromiseNs, GiveUpNs time.Duration
-		AimStretch          float64
+		PromiseNs, GiveUpNs time.Duration `limits:"min=0"`
+		AimStretch          float64       `limits:"min=0"`
 		Worth, LateWorth    float64
-		Effect, KeyScope    string
-		WindowNs            time.Duration
+		Effect              string        `limits:"enum=repeatable|by_key|once"`
+		KeyScope            string        `limits:"enum=|all|zone|cell"`
+		WindowNs            time.Duration `limits:"min=0"`
 		ByArrival           bool
 		AllowedIn           []string
 		AllowedOn           []string
@@ -64,8 +65,8 @@
 	}
 	Stats  struct{ Fields []string }
 	Limits struct {
-		MaxAttempts, MaxStreams                       int
-		MaxRetryAfterNs, ConnectTimeoutNs, ConnIdleNs time.Duration
+		MaxAttempts, MaxStreams                       int           `limits:"min=0"`
+		MaxRetryAfterNs, ConnectTimeoutNs, ConnIdleNs time.Duration `limits:"min=0"`
 		RetryAfter, Cancel, ParallelTries, Probing    bool
 	}
 	Rules struct {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/jsonschema-go/jsonschema"
+
 	"wheatlane/internal/schema"
 )
 
@@ -72,6 +74,9 @@
 // made is the schema of a file; it is made once, when it is first wanted.
 var made = sync.OnceValues(schema.For[File])
 
+// JSONSchema is the schema that a file is checked against.
+func JSONSchema() (*jsonschema.Schema, error) { return made() }
+
 // Schema is the JSON Schema of the file (draft 2020-12).
 func Schema() ([]byte, error) {
 	s, err := made()
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -51,6 +51,9 @@
 	s.Type, s.Types = "object", nil
 	for f := range fields(t) {
 		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if name == "" {
+			name = f.Name
+		}
 		p := s.Properties[name]
 		if p == nil {
 			continue
@@ -124,10 +127,23 @@
 	return nil
 }
 
+// What is the kind of a fault.
+type What int
+
+// The kinds of fault.
+const (
+	Type    What = iota // a value of another type belongs there
+	Unknown             // no such key
+	Missing             // a key that must be there
+	Range               // out of bounds, or none of the values there are
+)
+
 // Finding is a fault of a document.
 type Finding struct {
 	Path   []string // keys and numbers of items, from the root
+	What   What
 	Reason string
+	Near   []string // keys that are known where an unknown one stands
 }
 
 // Key writes a finding's place as telemetry.graphite[0].address.
@@ -181,8 +197,8 @@
 	err   error
 }
 
-func (c *checker) report(path []string, format string, args ...any) {
-	c.found = append(c.found, Finding{slices.Clone(path), fmt.Sprintf(format, args...)})
+func (c *checker) report(what What, path []string, format string, args ...any) {
+	c.found = append(c.found, Finding{Path: slices.Clone(path), What: what, Reason: fmt.Sprintf(format, args...)})
 }
 
 // value checks one value. Objects and arrays are gone through here, so that each fault has its place; what a keyword
@@ -191,17 +207,17 @@
 	switch v := v.(type) {
 	case map[string]any:
 		if s.Type != "object" {
-			c.report(path, "an object does not belong here, but %s", article(s.Type))
+			c.report(Type, path, "an object does not belong here, but %s", article(s.Type))
 			return
 		}
 		c.object(s, v, path)
 	case []any:
 		if s.Type != "array" {
-			c.report(path, "a list does not belong here, but %s", article(s.Type))
+			c.report(Type, path, "a list does not belong here, but %s", article(s.Type))
 			return
 		}
 		if s.MaxItems != nil && len(v) > *s.MaxItems {
-			c.report(path, "%d items, %d at most", len(v), *s.MaxItems)
+			c.report(Range, path, "%d items, %d at most", len(v), *s.MaxItems)
 		}
 		for i, item := range v {
 			c.value(s.Items, item, append(path, strconv.Itoa(i)))
@@ -217,12 +233,13 @@
 		if p := s.Properties[key]; p != nil {
 			c.value(p, v[key], at)
 		} else if s.AdditionalProperties != nil {
-			c.report(at, "unknown key")
+			c.found = append(c.found, Finding{Path: slices.Clone(at), What: Unknown, Reason: "unknown key",
+				Near: slices.Sorted(maps.Keys(s.Properties))})
 		}
 	}
 	for _, key := range s.Required {
 		if _, there := v[key]; !there {
-			c.report(append(path, key), "missing")
+			c.report(Missing, append(path, key), "missing")
 		}
 	}
 }
@@ -230,18 +247,18 @@
 // leaf checks a number, text, truth value or null.
 func (c *checker) leaf(s *jsonschema.Schema, v any, path []string) {
 	if got := typeOf(v); s.Type != "" && got != s.Type && !(got == "integer" && s.Type == "number") {
-		c.report(path, "%s does not belong here, but %s", article(got), article(s.Type))
+		c.report(Type, path, "%s does not belong here, but %s", article(got), article(s.Type))
 		return
 	}
 	switch n, isNumber := v.(json.Number); {
 	case len(s.Enum) > 0 && !slices.Contains(s.Enum, v):
-		c.report(path, "%q is none of %s", v, list(s.Enum))
+		c.report(Range, path, "%q is none of %s", v, list(s.Enum))
 		return
 	case isNumber && s.Minimum != nil && number(n) < *s.Minimum:
-		c.report(path, "%s is less than %v", n, *s.Minimum)
+		c.report(Range, path, "%s is less than %v", n, *s.Minimum)
 		return
 	case isNumber && s.Maximum != nil && number(n) > *s.Maximum:
-		c.report(path, "%s is more than %v", n, *s.Maximum)
+		c.report(Range, path, "%s is more than %v", n, *s.Maximum)
 		return
 	}
 	r, err := s.Resolve(nil)
@@ -257,7 +274,7 @@
 		if _, after, ok := strings.Cut(text, ": "); ok && strings.HasPrefix(text, "validating") {
 			text = after // what stands ahead names the place in the schema
 		}
-		c.report(path, "%s", text)
+		c.report(Range, path, "%s", text)
 	}
 }
 
