Write a broker's files from a description, and check files against each other

Need: one description for each application, and differences found before they hurt (issue: sidecar and configuration tool).

Change: 'config write APP.json' makes the broker's configuration and the operator's file, the same bytes for the same description, with a header that says of what they were made; what the checker finds in them is told and nothing is written. The layer of fleets compares several files or a folder: addresses, engine lists, meanings of classes, shares, places.

--- a/cmd/wheatlane/config.go
+++ b/cmd/wheatlane/config.go
@@ -4,13 +4,19 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"os"
+	"path/filepath"
+	"slices"
 
 	"github.com/spf13/cobra"
 
 	"wheatlane/internal/check"
+	"wheatlane/internal/check/fleet"
 	"wheatlane/internal/check/form"
 	"wheatlane/internal/check/rules"
+	"wheatlane/internal/description"
+	"wheatlane/internal/jsontext"
 	"wheatlane/internal/operator"
 )
 
@@ -39,33 +45,88 @@
 		}}
 	checks.Flags().StringVar(&format, "format", "text", "text or json")
 	list := &cobra.Command{Use: "checks", Short: "Print the table of checks", Args: takes(cobra.NoArgs), RunE: func(c *cobra.Command, _ []string) error {
-		all := append([]check.Check(nil), form.Table...)
-		for _, r := range rules.Table {
-			all = append(all, r.Check)
-		}
-		_, err := fmt.Fprint(c.OutOrStdout(), check.Markdown(all))
+		_, err := fmt.Fprint(c.OutOrStdout(), check.Markdown(table()))
 		return err
 	}}
-	return group("config", "The files that a broker reads", checks, list, schema)
+	var dir string
+	write := &cobra.Command{Use: "write APP.json", Short: "Turn the description of an application into its broker's files, checked",
+		Args: takes(cobra.ExactArgs(1)), RunE: func(c *cobra.Command, args []string) error { return writeConfig(c, args[0], dir) }}
+	write.Flags().StringVarP(&dir, "output", "o", ".", "folder to write to")
+	return group("config", "The files that a broker reads", checks, list, schema, write)
 }
 
-func checkFiles(c *cobra.Command, names []string, asJSON bool) error {
-	all := []check.Finding{}
-	for _, name := range names {
-		text, err := os.ReadFile(name)
-		if err != nil {
-			return &usageError{c.CommandPath(), err}
-		}
-		f, found, err := form.Run(name, text)
+// table is every check of all layers.
+func table() []check.Check {
+	all := append([]check.Check(nil), form.Table...)
+	for _, r := range rules.Table {
+		all = append(all, r.Check)
+	}
+	return append(all, fleet.Table...)
+}
+
+// checkTexts checks files that were read, each by itself and all together.
+func checkTexts(names []string, texts [][]byte) ([]check.Finding, error) {
+	all, files := []check.Finding{}, []*check.File{}
+	for i, name := range names {
+		f, found, err := form.Run(name, texts[i])
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if f != nil {
 			found = append(found, rules.Run(f)...)
+			files = append(files, f)
 		}
 		all = append(all, found...)
 	}
+	all = append(all, fleet.Run(files)...)
 	check.Sort(all)
+	return all, nil
+}
+
+// inFolders are the files named, and those of the folders named.
+func inFolders(names []string) (all []string, err error) {
+	for _, name := range names {
+		info, err := os.Stat(name)
+		if err != nil {
+			return nil, err
+		}
+		if !info.IsDir() {
+			all = append(all, name)
+			continue
+		}
+		below, err := filepath.Glob(filepath.Join(name, "*.json"))
+		if err != nil {
+			return nil, err
+		}
+		slices.Sort(below)
+		all = append(all, below...)
+	}
+	return all, nil
+}
+
+func checkFiles(c *cobra.Command, args []string, asJSON bool) error {
+	names, err := inFolders(args)
+	if err != nil {
+		return &usageError{c.CommandPath(), err}
+	}
+	var texts [][]byte
+	for _, name := range names {
+		f, err := os.Open(name)
+		if err != nil {
+			return &usageError{c.CommandPath(), err}
+		}
+		// One byte more than may be, so that what is too large is found to be.
+		text, err := io.ReadAll(io.LimitReader(f, jsontext.MostText+1))
+		f.Close()
+		if err != nil {
+			return &usageError{c.CommandPath(), err}
+		}
+		texts = append(texts, text)
+	}
+	all, err := checkTexts(names, texts)
+	if err != nil {
+		return err
+	}
 	if asJSON {
 		e := json.NewEncoder(c.OutOrStdout())
 		e.SetIndent("", "  ")
@@ -82,3 +143,66 @@
 	}
 	return nil
 }
+
+// The files that are written beside each other.
+const (
+	brokerFile   = "broker.json"
+	operatorFile = "operator.json"
+)
+
+// writeConfig turns a description into a broker's files. What the checker finds in them is told, and nothing is written.
+func writeConfig(c *cobra.Command, name, dir string) error {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return &usageError{c.CommandPath(), err}
+	}
+	app, found, err := description.Parse(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	for _, f := range found {
+		fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", name, f)
+	}
+	if len(found) > 0 {
+		return fmt.Errorf("%w: %d in %s", errFindings, len(found), name)
+	}
+	made := description.Made(filepath.Base(name), text)
+	names, texts := []string{}, [][]byte{}
+	for _, part := range []struct {
+		file string
+		make func(string) ([]byte, error)
+	}{{brokerFile, app.Broker}, {operatorFile, app.Operator}} {
+		out, err := part.make(made)
+		if err != nil {
+			return err
+		}
+		if out != nil {
+			names, texts = append(names, filepath.Join(dir, part.file)), append(texts, out)
+		}
+	}
+	all, err := checkTexts(names, texts)
+	if err != nil {
+		return err
+	}
+	for _, f := range all {
+		fmt.Fprintln(c.OutOrStdout(), f)
+	}
+	if slices.ContainsFunc(all, func(f check.Finding) bool { return f.Severity == check.Fault }) {
+		return fmt.Errorf("%w in what %s would give; nothing is written", errFindings, name)
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for i, file := range names {
+		// Whoever reads it finds the old or the new one whole.
+		next := file + ".next"
+		if err := os.WriteFile(next, texts[i], 0o644); err != nil {
+			return err
+		}
+		if err := os.Rename(next, file); err != nil {
+			return err
+		}
+		fmt.Fprintln(c.OutOrStdout(), file)
+	}
+	return nil
+}
--- a/internal/check/plant/plant_test.go
+++ b/internal/check/plant/plant_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"wheatlane/internal/check"
+	"wheatlane/internal/check/fleet"
 	"wheatlane/internal/check/form"
 	"wheatlane/internal/check/rules"
 )
@@ -113,6 +114,7 @@
 	for _, r := range rules.Table {
 		all = append(all, r.Check)
 	}
+	all = append(all, fleet.Table...)
 	if !strings.Contains(string(page), check.Markdown(all)) {
 		t.Error("docs/operators/checks.md lacks the table that 'wheatlane config checks' prints")
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,7 @@
 // File is the operator's file.
 type File struct {
 	Schema    string     `json:"$schema,omitempty" jsonschema:"where editors find the schema of this file; not read"`
+	Made      string     `json:"$made,omitempty" jsonschema:"from what the file was made; not read"`
 	Telemetry *Telemetry `json:"telemetry,omitempty" jsonschema:"figures for Graphite and collectd; absent: none are kept"`
 }
 
