--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD = $(shell sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)
 RUN = $(shell sed -n 's/^run = "\(.*\)".*$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build demo test lint run measure-telemetry
+.PHONY: build demo test lint run measure-telemetry measure-config
 
 build:
 	$(BUILD)
@@ -21,3 +21,6 @@
 
 measure-telemetry: build
 	go run ./measure/telemetry
+
+measure-config:
+	go run ./measure/config
--- a/cmd/wheatlane/config.go
+++ b/cmd/wheatlane/config.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"wheatlane/internal/check"
+	"wheatlane/internal/check/diff"
 	"wheatlane/internal/check/fleet"
 	"wheatlane/internal/check/form"
 	"wheatlane/internal/check/rules"
@@ -20,6 +21,43 @@
 	"wheatlane/internal/operator"
 )
 
+// errDiffer says that two files differ, in what is printed.
+var errDiffer = errors.New("they differ")
+
+// diffFiles prints what differs in two files.
+func diffFiles(c *cobra.Command, one, two string) error {
+	var roots []*jsontext.Node
+	for _, name := range []string{one, two} {
+		text, err := readFile(name)
+		if err != nil {
+			return &usageError{c.CommandPath(), err}
+		}
+		root, _, err := jsontext.Parse(text)
+		if err != nil {
+			return &usageError{c.CommandPath(), fmt.Errorf("%s:%w", name, err)}
+		}
+		roots = append(roots, root)
+	}
+	all := diff.Diff(roots[0], roots[1])
+	for _, x := range all {
+		fmt.Fprintln(c.OutOrStdout(), x)
+	}
+	if len(all) > 0 {
+		return fmt.Errorf("%w in %d places", errDiffer, len(all))
+	}
+	return nil
+}
+
+// readFile reads a file, but not one byte more than shows that it is too large.
+func readFile(name string) ([]byte, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(io.LimitReader(f, jsontext.MostText+1))
+}
+
 // errFindings says that there are findings, which are printed.
 var errFindings = errors.New("there are findings")
 
@@ -52,7 +90,9 @@
 	write := &cobra.Command{Use: "write APP.json", Short: "Turn the description of an application into its broker's files, checked",
 		Args: takes(cobra.ExactArgs(1)), RunE: func(c *cobra.Command, args []string) error { return writeConfig(c, args[0], dir) }}
 	write.Flags().StringVarP(&dir, "output", "o", ".", "folder to write to")
-	return group("config", "The files that a broker reads", checks, list, schema, write)
+	differ := &cobra.Command{Use: "diff A B", Short: "Compare two files by what they mean; exit code 1 if they differ", Args: takes(cobra.ExactArgs(2)),
+		RunE: func(c *cobra.Command, args []string) error { return diffFiles(c, args[0], args[1]) }}
+	return group("config", "The files that a broker reads", checks, list, schema, write, differ)
 }
 
 // table is every check of all layers.
@@ -111,13 +151,7 @@
 	}
 	var texts [][]byte
 	for _, name := range names {
-		f, err := os.Open(name)
-		if err != nil {
-			return &usageError{c.CommandPath(), err}
-		}
-		// One byte more than may be, so that what is too large is found to be.
-		text, err := io.ReadAll(io.LimitReader(f, jsontext.MostText+1))
-		f.Close()
+		text, err := readFile(name)
 		if err != nil {
 			return &usageError{c.CommandPath(), err}
 		}
--- a/internal/check/fleet/fleet.go
+++ b/internal/check/fleet/fleet.go
@@ -32,22 +32,34 @@
 // meaning are the keys of a class that say what it means.
 var meaning = []string{"Effect", "PromiseNs", "GiveUpNs", "ByArrival", "WindowNs", "Worth", "KeyScope"}
 
+// seen is what the files so far said first.
+type seen struct {
+	taken   map[string]*check.File // by check and value: what only one may have
+	first   *check.File
+	classes map[string]thing // by name
+	tenants map[string]thing
+	lists   map[string]list // of engines, by the number of their last event
+}
+
+// thing is what a file says of something that has a name.
+type thing struct {
+	file *check.File
+	node *jsontext.Node
+}
+
+// list is the engines that a file begins with.
+type list struct {
+	file    *check.File
+	engines map[string]string
+}
+
 // Run finds what the platform's files among these disagree on. What differs is found in the later file, against the
-// first that says otherwise.
+// first that says otherwise. Each file is gone through once, however many there are.
 func Run(files []*check.File) (all []check.Finding) {
-	var platform []*check.File
+	s := seen{taken: map[string]*check.File{}, classes: map[string]thing{}, tenants: map[string]thing{}, lists: map[string]list{}}
 	for _, f := range files {
 		if f.Kind == check.Platform {
-			platform = append(platform, f)
-		}
-	}
-	for i, b := range platform {
-		for _, a := range platform[:i] {
-			found := pair(a, b)
-			all = append(all, found...)
-			if len(found) > 0 {
-				break // each file is told of the first that it disagrees with
-			}
+			all = append(all, s.add(f)...)
 		}
 	}
 	return all
@@ -69,78 +81,94 @@
 	return n.Kind.String()
 }
 
-// pair compares two files.
-func pair(a, b *check.File) (all []check.Finding) {
-	differ := func(c check.Check, path ...string) {
-		if x, y := a.Root.At(path...), b.Root.At(path...); text(x) != text(y) {
-			all = append(all, b.Hit(c, text(y)+", and "+text(x)+" in "+a.Name, path...))
+// add holds a file against those before it.
+func (s *seen) add(f *check.File) (all []check.Finding) {
+	own := func(c check.Check, path ...string) {
+		n := f.Root.At(path...)
+		if n == nil {
+			return
 		}
-	}
-	same := func(c check.Check, path ...string) {
-		if x, y := a.Root.At(path...), b.Root.At(path...); x != nil && y != nil && text(x) == text(y) {
-			all = append(all, b.Hit(c, text(y)+" as in "+a.Name, path...))
+		key := c.Code + " " + text(n)
+		if o := s.taken[key]; o != nil {
+			all = append(all, f.Hit(c, text(n)+" as in "+o.Name, path...))
+			return
 		}
+		s.taken[key] = f
+	}
+	if !strings.HasSuffix(f.Root.Get("listen").Str(), ":0") {
+		own(Listen, "listen")
+	}
+	own(Name, "name")
+	if f.Root.At("settings", "PeersTotal").Num(1) > 1 {
+		own(Position, "settings", "Position")
 	}
-	if !strings.HasSuffix(a.Root.Get("listen").Str(), ":0") {
-		same(Listen, "listen")
+	if s.first == nil {
+		s.first = f
 	}
-	same(Name, "name")
-	differ(Changelog, "changelog")
-	differ(Peers, "settings", "PeersTotal")
-	if a.Root.At("settings", "PeersTotal").Num(1) > 1 {
-		same(Position, "settings", "Position")
+	same := func(c check.Check, path ...string) {
+		if x, y := s.first.Root.At(path...), f.Root.At(path...); text(x) != text(y) {
+			all = append(all, f.Hit(c, text(y)+", and "+text(x)+" in "+s.first.Name, path...))
+		}
 	}
-	all = append(all, named(a, b, Classes, meaning, "settings", "RequestClasses")...)
-	all = append(all, named(a, b, Tenants, []string{"Share"}, "settings", "Tenants")...)
-	return append(all, lists(a, b)...)
+	same(Changelog, "changelog")
+	same(Peers, "settings", "PeersTotal")
+	all = append(all, named(f, s.classes, Classes, meaning, "settings", "RequestClasses")...)
+	all = append(all, named(f, s.tenants, Tenants, []string{"Share"}, "settings", "Tenants")...)
+	return append(all, s.list(f)...)
 }
 
-// named compares what two lists say of things of one name.
-func named(a, b *check.File, c check.Check, keys []string, list ...string) (all []check.Finding) {
-	known := map[string]*jsontext.Node{}
-	for _, n := range a.Root.At(list...).All() {
-		known[n.Get("Name").Str()] = n
-	}
-	for i, y := range b.Root.At(list...).All() {
-		x := known[y.Get("Name").Str()]
-		if x == nil {
+// named holds what a list says of things by name against what was said of them first.
+func named(f *check.File, known map[string]thing, c check.Check, keys []string, path ...string) (all []check.Finding) {
+	for i, y := range f.Root.At(path...).All() {
+		name := y.Get("Name").Str()
+		x, there := known[name]
+		if !there {
+			known[name] = thing{f, y}
 			continue
 		}
+		if x.file == f {
+			continue // one that comes twice in a file is found by the layer of rules
+		}
 		for _, key := range keys {
-			if text(x.Get(key)) != text(y.Get(key)) {
-				path := append(slices.Clone(list), strconv.Itoa(i), key)
-				all = append(all, b.Hit(c, fmt.Sprintf("%s of %q is %s, and %s in %s", key, y.Get("Name").Str(), text(y.Get(key)), text(x.Get(key)), a.Name), path...))
+			if was, is := text(x.node.Get(key)), text(y.Get(key)); was != is {
+				at := append(slices.Clone(path), strconv.Itoa(i), key)
+				all = append(all, f.Hit(c, fmt.Sprintf("%s of %q is %s, and %s in %s", key, name, is, was, x.file.Name), at...))
 			}
 		}
 	}
 	return all
 }
 
-// lists compares the engines that two brokers start with.
-func lists(a, b *check.File) []check.Finding {
-	x, y := a.Root.At("known", "seq"), b.Root.At("known", "seq")
-	if x == nil || y == nil {
+// list holds the engines that a file begins with against those of the first that knows as many events.
+func (s *seen) list(f *check.File) []check.Finding {
+	n := f.Root.At("known", "seq")
+	if n == nil {
 		return nil
 	}
-	if x.Number != y.Number {
-		return []check.Finding{b.Hit(Behind, text(y)+", and "+text(x)+" in "+a.Name, "known", "seq")}
+	mine := engines(f.Root)
+	o, there := s.lists[text(n)]
+	if !there {
+		s.lists[text(n)] = list{f, mine}
+		if x := s.first.Root.At("known", "seq"); x != nil && text(x) != text(n) {
+			return []check.Finding{f.Hit(Behind, text(n)+", and "+text(x)+" in "+s.first.Name, "known", "seq")}
+		}
+		return nil
 	}
-	one, two := engines(a.Root), engines(b.Root)
 	var odd []string
-	for _, id := range slices.Sorted(maps.Keys(one)) {
-		if two[id] != one[id] {
+	for _, id := range slices.Sorted(maps.Keys(o.engines)) {
+		if mine[id] != o.engines[id] {
 			odd = append(odd, id)
 		}
 	}
-	for _, id := range slices.Sorted(maps.Keys(two)) {
-		if _, known := one[id]; !known {
+	for _, id := range slices.Sorted(maps.Keys(mine)) {
+		if _, known := o.engines[id]; !known {
 			odd = append(odd, id)
 		}
 	}
 	if len(odd) == 0 {
 		return nil
 	}
-	return []check.Finding{b.Hit(Engines, strings.Join(odd, ", ")+" not as in "+a.Name, "known", "results")}
+	return []check.Finding{f.Hit(Engines, strings.Join(odd, ", ")+" not as in "+o.file.Name, "known", "results")}
 }
 
 // engines are the engines as the events leave them, each with what is told of it last.
