--- a/measure/config/main.go
+++ b/measure/config/main.go
@@ -3,9 +3,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -14,11 +16,12 @@
 	"wheatlane/internal/check/form"
 	"wheatlane/internal/check/plant"
 	"wheatlane/internal/check/rules"
+	"wheatlane/internal/durable"
 	"wheatlane/internal/rollout"
 )
 
 func main() {
-	for _, part := range []func() error{faults, times, adoption} {
+	for _, part := range []func() error{faults, times, adoption, store} {
 		if err := part(); err != nil {
 			fmt.Fprintln(os.Stderr, "measure:", err)
 			os.Exit(1)
@@ -113,6 +116,82 @@
 	return nil
 }
 
+// store measures a store on the disk of the folder for temporary files, against writing all anew each time.
+func store() error {
+	dir, err := os.MkdirTemp("", "measure")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	record := make([]byte, 200)
+	for _, n := range []int{100, 1000, 10_000, 100_000} {
+		d, err := durable.NewDisk(filepath.Join(dir, fmt.Sprint(n)))
+		if err != nil {
+			return err
+		}
+		// Syncing each of a hundred thousand would take minutes.
+		if err := fill(d, record, n); err != nil {
+			return err
+		}
+		began := time.Now()
+		s, st, err := durable.Open(d)
+		if err != nil {
+			return err
+		}
+		if len(st.Records) != n {
+			return fmt.Errorf("%d records of %d", len(st.Records), n)
+		}
+		tell(fmt.Sprintf("recovery_of_%d_records", n), float64(time.Since(began).Microseconds())/1000, "ms")
+		if n == 1000 {
+			rate := func(name string, do func() error) error {
+				began, count := time.Now(), 0
+				for ; time.Since(began) < time.Second; count++ {
+					if err := do(); err != nil {
+						return err
+					}
+				}
+				tell(name, float64(count)/time.Since(began).Seconds(), "writes/s")
+				return nil
+			}
+			all := make([]byte, n*len(record))
+			if err := errors.Join(rate("store_log", func() error { return s.Append(record) }),
+				rate("store_rewrite_of_1000_records", func() error { return s.Compact(all) })); err != nil {
+				return err
+			}
+		}
+		if err := s.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// unsynced is a disk that does not wait for its syncs.
+type unsynced struct{ *durable.Disk }
+
+type quick struct{ durable.File }
+
+func (quick) Sync() error { return nil }
+
+func (u unsynced) Append(name string) (durable.File, error) {
+	f, err := u.Disk.Append(name)
+	return quick{f}, err
+}
+
+// fill appends records without waiting for the disk.
+func fill(d *durable.Disk, record []byte, n int) error {
+	s, _, err := durable.Open(unsynced{d})
+	if err != nil {
+		return err
+	}
+	for range n {
+		if err := s.Append(record); err != nil {
+			return err
+		}
+	}
+	return s.Close()
+}
+
 const look = 5 * time.Second
 
 // trial is a configuration that makes so many requests more end badly, at 50 a second of which 5% do anyway.
