Explain a key: its meaning, bounds, default, and where a file gives it

Need: people keep configurations whose keys they can't look up (issue: sidecar and configuration tool). Change: 'config explain KEY [--file FILE]' on the schemas of all files.

--- a/cmd/wheatlane/config.go
+++ b/cmd/wheatlane/config.go
@@ -92,7 +92,7 @@
 	write.Flags().StringVarP(&dir, "output", "o", ".", "folder to write to")
 	differ := &cobra.Command{Use: "diff A B", Short: "Compare two files by what they mean; exit code 1 if they differ", Args: takes(cobra.ExactArgs(2)),
 		RunE: func(c *cobra.Command, args []string) error { return diffFiles(c, args[0], args[1]) }}
-	return group("config", "The files that a broker reads", checks, list, schema, write, differ)
+	return group("config", "The files that a broker reads", checks, list, schema, write, differ, explainCommand())
 }
 
 // table is every check of all layers.
