Let go of what nothing reads, and keep what is in force when a rollback can't be

Need: read over once more, the change had counters, fields and methods that nothing reads; a rollback whose target had become invalid left the machine naming the invalid one as in force; and the measurement of lost requests waited until none was lost, so that it could say nothing else.

Change: those are gone; what was rolled back last stays the good one if the target can't be put in force, held by a test; the measurement waits for the broker's end and tells what the collector has then.

--- a/internal/delivery/delivery.go
+++ b/internal/delivery/delivery.go
@@ -84,7 +84,6 @@
 
 // Stats is what a destination tells of itself.
 type Stats struct {
-	Up          bool
 	Held        int     // bytes
 	Waiting     uint64  // intervals, each of those folded into one counted
 	Delivered   uint64  // intervals written, each of those folded into one counted
@@ -142,7 +141,7 @@
 // Stats are the figures of the moment.
 func (m *Machine) Stats() Stats {
 	s := m.stats
-	s.Up, s.Held = m.state == up, m.held()
+	s.Held = m.held()
 	for _, it := range m.queue {
 		s.Waiting += it.v.Of
 	}
--- a/internal/durable/store.go
+++ b/internal/durable/store.go
@@ -248,14 +248,15 @@
 	}
 	old := s.number
 	s.file, s.number, s.failed = f, next, false
-	return s.sweep(old)
+	s.sweep(old)
+	return nil
 }
 
 // sweep removes generations that a newer one stands for, and drafts. One that can't be removed does no harm.
-func (s *Store) sweep(upTo uint64) error {
+func (s *Store) sweep(upTo uint64) {
 	files, err := s.dir.List()
 	if err != nil {
-		return nil //nolint:nilerr // see above
+		return
 	}
 	for _, f := range files {
 		digits, isLog := strings.CutPrefix(f, "log-")
@@ -264,7 +265,6 @@
 			s.dir.Remove(f) //nolint:errcheck // see above
 		}
 	}
-	return nil
 }
 
 // Close closes the store. All that was confirmed is on the disk already.
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -116,14 +116,6 @@
 	s.Add(v)
 }
 
-// Total is a counter summed over all its names and parts. Counts of names that have left for good are not in it.
-func (r *Registry) Total(id ID) (sum float64) {
-	for _, v := range r.counts[id] {
-		sum += v
-	}
-	return sum
-}
-
 // Cut ends an interval and returns its figures. Times are those of the wall clock and of one that is never set.
 func (r *Registry) Cut(wall, mono time.Duration) *Interval {
 	r.sequence++
@@ -214,6 +206,3 @@
 		}
 	}
 }
-
-// Sequence is the number of the last interval.
-func (r *Registry) Sequence() uint64 { return r.sequence }
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -96,6 +96,7 @@
 	out    []Action
 	good   Version // the last that was kept
 	trial  Version // on trial; empty: none
+	undone Version // rolled back or withdrawn last, and in force still should the good one turn out invalid
 	next   Version // offered while one is on trial; empty: none
 	began  time.Duration
 	tests  map[string]*Test
@@ -254,7 +255,7 @@
 // end puts the good one in force again.
 func (m *Machine) end(now time.Duration, how Outcome, why string) {
 	m.note(m.trial, how, "%s", why)
-	m.trial = ""
+	m.undone, m.trial = m.trial, ""
 	m.out = append(m.out, Apply{m.good})
 	m.goOn(now)
 }
@@ -276,7 +277,8 @@
 		m.trial = ""
 		m.note(v, Refused, "it can't be put in force: %s", ev.Why)
 		m.goOn(now)
-	case ev.Version == m.good && m.trial == "":
+	case ev.Version == m.good && m.trial == "" && m.undone != "":
+		m.good, m.undone = m.undone, ""
 		m.note(ev.Version, Refused, "it can't be put in force any more, and what is stays: %s", ev.Why)
 	}
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -93,6 +93,9 @@
 		{"the target of a rollback has become invalid", func(r *rig) {
 			r.traffic(24, 100, 0.3)
 			r.apply(Invalid{"v1", "its folder is gone"})
+			if r.m.InForce() != "v2" {
+				r.said = append(r.said, "in force is "+string(r.m.InForce()))
+			}
 		}, []string{"v2 tried", "apply v2", "v2 rolled_back", "apply v1", "v1 refused"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/standin/collector/carbon.go
+++ b/internal/standin/collector/carbon.go
@@ -45,7 +45,6 @@
 	addr  string
 	turn  chan struct{} // closed when the mode changes
 	conns map[net.Conn]bool
-	Conns int // connections that were accepted; read it once Run has ended
 }
 
 // NewCarbon returns one that listens at an address; port 0 is any, and the one taken is kept when it comes back.
@@ -141,7 +140,6 @@
 		}
 		c.mu.Lock()
 		c.conns[nc] = true
-		c.Conns++
 		if c.mode == Gone {
 			reset(nc)
 		}
--- a/internal/standin/collector/ledger.go
+++ b/internal/standin/collector/ledger.go
@@ -105,13 +105,6 @@
 	l.samples = nil
 }
 
-// Samples are those kept, in the order in which they came.
-func (l *Ledger) Samples() []Sample {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Clone(l.samples)
-}
-
 // Run is one life of a broker, from its start to its end or the next start.
 type Run struct {
 	Broker  string
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -54,7 +54,6 @@
 	kick   chan struct{}
 	owner  map[string]*conn // of what runs
 	down   bool
-	Wants  int // queries that came
 }
 
 type kept struct {
@@ -381,7 +380,6 @@
 
 // want takes a query; s.mu is held.
 func (s *Server) want(c *conn, id, fields, body string) {
-	s.Wants++
 	values := map[string]string{}
 	for f := range strings.SplitSeq(fields, ",") {
 		name, value, _ := strings.Cut(f, "=")
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -50,7 +50,6 @@
 	mode    Mode
 	ln      net.Listener
 	onTold  func(h Host, at time.Time)
-	Polls   int
 }
 
 // Mode is how the change log behaves.
@@ -187,9 +186,6 @@
 		http.Error(w, "since or timeout is no number", http.StatusBadRequest)
 		return
 	}
-	l.mu.Lock()
-	l.Polls++
-	l.mu.Unlock()
 	end := time.Now().Add(min(longestPoll, time.Duration(ms)*time.Millisecond))
 	for {
 		events, next, changed, mode := l.after(since)
--- a/internal/standin/referee/referee.go
+++ b/internal/standin/referee/referee.go
@@ -13,10 +13,9 @@
 
 // Rules are the figures of the rules.
 type Rules struct {
-	DrainGrace  time.Duration // nothing new goes to an engine so long after its drain was told
-	Slack       time.Duration // what sockets and clocks add to each time
-	MostTries   int           // attempts of a request
-	KeyedWindow time.Duration // engines drop repeats of a keyed request for so long
+	DrainGrace time.Duration // nothing new goes to an engine so long after its drain was told
+	Slack      time.Duration // what sockets and clocks add to each time
+	MostTries  int           // attempts of a request
 }
 
 // Outcome is how a request ended at its client.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -31,12 +31,14 @@
 	mu  sync.Mutex
 	b   *broker.Broker
 	rec *Recorder
+	cut uint64 // how often it was looked at, which is once an interval
 }
 
 func (h *host) Look(_ context.Context, f func(*broker.Broker, node.Sockets)) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	f(h.b, node.Sockets{})
+	h.cut++
 	return true
 }
 
@@ -136,7 +138,7 @@
 func (r *rig) sequence() uint64 {
 	r.host.mu.Lock()
 	defer r.host.mu.Unlock()
-	return r.host.rec.reg.Sequence()
+	return r.host.cut
 }
 
 // intervals lets n intervals go by under load.
--- a/measure/telemetry/endtoend.go
+++ b/measure/telemetry/endtoend.go
@@ -247,17 +247,18 @@
 	}
 	c.Set(collector.Serve)
 	b.cmd.Process.Signal(syscall.SIGTERM) //nolint:errcheck // it is noticed below if it does not end
+	b.cmd.Wait()                          //nolint:errcheck // what it has sent by then is compared
 	deadline := time.Now().Add(patience)
 	for {
 		f := ledger.Judge()
-		if len(f.Runs) == 1 && int(f.Runs[0].Total(metrics.Requests)) >= b.sent && f.Runs[0].Missing() == 0 {
+		if len(f.Runs) == 1 && (f.Runs[0].Missing() == 0 && f.Runs[0].Total(metrics.Requests) >= float64(b.sent) || time.Now().After(deadline)) {
 			tell("requests_counted_by_the_client", float64(b.sent), "requests")
 			tell("requests_lost_by_the_collector_after_an_outage", float64(b.sent)-f.Runs[0].Total(metrics.Requests), "requests")
 			tell("intervals_missing_after_an_outage", float64(f.Runs[0].Missing()), "intervals")
 			return nil
 		}
 		if time.Now().After(deadline) {
-			return fmt.Errorf("the collector has %d runs and not all of %d requests", len(f.Runs), b.sent)
+			return fmt.Errorf("the collector has %d runs", len(f.Runs))
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
