Answer on-call calls at the second address, ban engines by hand, listen with SO_REUSEPORT

Nothing listened at the operator's address at all.

- Bans are reducer state (broker.SetDown, SetUp, Restore): a banned engine is shown to the module as draining whatever the list says; ids never listed get NAK not_listed.
- The clients' listener sets SO_REUSEPORT; a refusal is logged once and changes nothing.

--- a/cmd/wheatlane/serve.go
+++ b/cmd/wheatlane/serve.go
@@ -76,7 +76,11 @@
 	if err != nil {
 		return err
 	}
-	log.Info("serving", zap.Stringer("listen", broker.Node.Addr()), zap.Int64("seq", cfg.Known.Seq))
+	fields := []zap.Field{zap.Stringer("listen", broker.Node.Addr()), zap.Int64("seq", cfg.Known.Seq)}
+	if at := broker.Operator(); at != nil {
+		fields = append(fields, zap.Stringer("operator", at))
+	}
+	log.Info("serving", fields...)
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	g, ctx := errgroup.WithContext(ctx)
@@ -103,6 +107,7 @@
 		}
 		if cfg, err := config.Load(os.Getenv); err != nil {
 			log.Error("not reloaded, the configuration before stays", zap.Error(err))
+			broker.Invalid(ctx)
 		} else {
 			broker.Reload(ctx, cfg)
 		}
--- /dev/null
+++ b/internal/broker/bans.go
@@ -0,0 +1,107 @@
+package broker
+
+import (
+	"maps"
+	"slices"
+
+	"wheatlane/control"
+)
+
+// mostListed is how many ids of engines that were ever listed are kept, so that a ban of an id never listed can be
+// told from one of an engine that has left. Past it, those that are neither listed nor banned are forgotten.
+const mostListed = 4096
+
+type (
+	// SetDown leaves an engine out by hand: nothing new is sent to it until SetUp, whatever the change log says of
+	// it in the meantime. A second one changes nothing.
+	SetDown struct{ Engine string }
+	// SetUp ends the ban of an engine. One without a ban changes nothing.
+	SetUp struct{ Engine string }
+	// Restore takes over the bans of the process before, listed now or not: they hold until SetUp.
+	Restore struct{ Bans []string }
+)
+
+func (SetDown) event() {}
+func (SetUp) event()   {}
+func (Restore) event() {}
+
+// restore takes over bans of the process before.
+func (b *Broker) restore(bans []string) {
+	for _, id := range bans {
+		b.remember(id)
+		b.ban(id, true)
+	}
+}
+
+// Listed tells whether an engine was ever in the list, as far as is kept.
+func (b *Broker) Listed(id string) bool { return b.listed[id] }
+
+// Banned are the engines left out by hand, in order.
+func (b *Broker) Banned() []string { return slices.Sorted(maps.Keys(b.bans)) }
+
+// Ready tells whether the broker can serve: it is not stopping, and an engine is in service and not left out.
+func (b *Broker) Ready() bool { return !b.stopped && b.ready > 0 }
+
+// Unhealthy is how many listed engines are avoided now, by hand or by the decision module's belief.
+func (b *Broker) Unhealthy() int {
+	b.decide.View(&b.view)
+	n := 0
+	for _, e := range b.view.Engines {
+		if _, listed := b.engines[e.ID]; listed && (b.bans[e.ID] || e.Down || e.State != control.Ready) {
+			n++
+		}
+	}
+	return n
+}
+
+// Size is how many engines are in the list.
+func (b *Broker) Size() int { return len(b.engines) }
+
+// ban leaves an engine out, or lets it in again, and tells the decision module of the state that it is to see.
+func (b *Broker) ban(id string, down bool) {
+	if b.bans[id] == down || !b.listed[id] {
+		return
+	}
+	if down {
+		b.bans[id] = true
+	} else {
+		delete(b.bans, id)
+	}
+	if h, ok := b.engines[id]; ok {
+		b.tell(control.List{Kind: control.Delta, Engines: []control.Engine{b.seen(h.Engine)}})
+		if down {
+			b.do(DropUnsent{id})
+		}
+	}
+	b.count()
+}
+
+// seen is an engine as the decision module is to see it: one left out by hand drains.
+func (b *Broker) seen(e control.Engine) control.Engine {
+	if b.bans[e.ID] && e.State == control.Ready {
+		e.State = control.Draining
+	}
+	return e
+}
+
+// remember keeps that an engine was listed.
+func (b *Broker) remember(id string) {
+	if len(b.listed) >= mostListed {
+		for known := range b.listed {
+			if _, listed := b.engines[known]; !listed && !b.bans[known] {
+				delete(b.listed, known)
+			}
+		}
+	}
+	b.listed[id] = true
+}
+
+// count counts the engines that can serve.
+func (b *Broker) count() {
+	b.ready = 0
+	for id, e := range b.engines {
+		if e.State == control.Ready && !b.bans[id] {
+			b.ready++
+		}
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -41,7 +41,10 @@
 	open     int // requests that are owed an answer
 
 	engines map[string]changelog.Host
-	ready   int // engines in service
+	ready   int             // engines in service and not left out
+	bans    map[string]bool // engines left out by hand
+	listed  map[string]bool // engines that were ever listed, as far as is kept
+	view    control.View
 	seq     int64
 
 	probes      map[uint64]probe
@@ -94,7 +97,7 @@
 		return nil, err
 	}
 	b := &Broker{decide: c, round: set.Round, sessions: newSessions(mostSessions), requests: map[uint64]*request{}, refs: map[string]bool{},
-		engines: map[string]changelog.Host{}, probes: map[uint64]probe{}, trains: map[string]*train{},
+		engines: map[string]changelog.Host{}, bans: map[string]bool{}, listed: map[string]bool{}, probes: map[uint64]probe{}, trains: map[string]*train{},
 		classes: map[string]control.Class{}, tenants: map[string]bool{}, sweepTrains: fewTrains, meter: Unmeasured{}}
 	for _, k := range set.Classes {
 		b.classes[k.Name] = k
@@ -214,6 +217,12 @@
 		b.changes(ev.Page)
 	case Stop:
 		b.stop(now, ev.Within)
+	case SetDown:
+		b.ban(ev.Engine, true)
+	case SetUp:
+		b.ban(ev.Engine, false)
+	case Restore:
+		b.restore(ev.Bans)
 	}
 	return b.take()
 }
@@ -598,17 +607,15 @@
 			for _, id := range b.host(h) {
 				list.Engines = append(list.Engines, control.Engine{ID: id, State: control.Gone})
 			}
-			list.Engines = append(list.Engines, h.Engine)
+			list.Engines = append(list.Engines, b.seen(h.Engine))
+			if h.State != control.Gone {
+				b.remember(h.ID)
+			}
 		}
 		b.tell(list)
 	}
 	b.seq = max(b.seq, p.Seq)
-	b.ready = 0
-	for _, e := range b.engines {
-		if e.State == control.Ready {
-			b.ready++
-		}
-	}
+	b.count()
 }
 
 // host takes what the change log says of an engine, and returns those that must be gone as it has their address.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,6 +20,8 @@
 	Name      string
 	Listen    string
 	Changelog string
+	Operator  string // the second address, where on-call staff call; empty: none
+	HandOver  string // the folder where one process leaves the next what it must not forget; empty: none
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
@@ -62,6 +64,7 @@
 	}{
 		{"name", c.Name == next.Name},
 		{"listen", c.Listen == next.Listen},
+		{"operator", c.Operator == next.Operator},
 		{"limits.memory_mb", c.MemoryMB == next.MemoryMB},
 		{"limits.sockets", c.Sockets == next.Sockets},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
@@ -79,6 +82,7 @@
 		Listen    string `json:"listen"`
 		Seed      string `json:"seed"`
 		Changelog string `json:"changelog"`
+		Operator  string `json:"operator"`
 		Limits    struct {
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int `json:"sockets"`
@@ -93,7 +97,7 @@
 		}
 		return Config{}, err
 	}
-	c := Config{Name: file.Name, Listen: file.Listen, Changelog: file.Changelog,
+	c := Config{Name: file.Name, Listen: file.Listen, Changelog: file.Changelog, Operator: file.Operator,
 		MemoryMB: orElse(file.Limits.MemoryMB, defaultMemoryMB), Sockets: orElse(file.Limits.Sockets, defaultSockets)}
 	if v := getenv("RELAY_NAME"); v != "" { // the environment goes before the file
 		c.Name = v
@@ -101,9 +105,19 @@
 	if v := getenv("RELAY_LISTEN"); v != "" {
 		c.Listen = v
 	}
+	c.HandOver = getenv("TMPDIR")
+	if c.HandOver == "" {
+		c.HandOver = os.TempDir()
+	}
+	if v := getenv("RELAY_OPERATOR"); v != "" {
+		c.Operator = v
+	}
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return c, fmt.Errorf("listen: %w", err)
 	}
+	if _, err := netip.ParseAddrPort(c.Operator); err != nil && c.Operator != "" {
+		return c, fmt.Errorf("operator: %w", err)
+	}
 	if _, err := netip.ParseAddrPort(c.Changelog); err != nil {
 		return c, fmt.Errorf("changelog: %w", err)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -25,6 +25,19 @@
 	})
 }
 
+// The second address is in the file or in RELAY_OPERATOR, which goes first; without either there is none.
+func TestOperatorAddress(t *testing.T) {
+	inFile := strings.Replace(good, `"changelog"`, `"operator":"127.0.0.4:7000","changelog"`, 1)
+	for _, c := range []struct {
+		text, env, want string
+	}{{good, "", ""}, {inFile, "", "127.0.0.4:7000"}, {inFile, "127.0.0.4:7001", "127.0.0.4:7001"}, {good, "127.0.0.4:7001", "127.0.0.4:7001"}} {
+		cfg, err := load(t, c.text, map[string]string{"RELAY_OPERATOR": c.env})
+		if err != nil || cfg.Operator != c.want {
+			t.Errorf("%q: got %q, %v", c.env, cfg.Operator, err)
+		}
+	}
+}
+
 func TestLoad(t *testing.T) {
 	c, err := load(t, good, map[string]string{"RELAY_NAME": "n4"})
 	if err != nil {
@@ -42,6 +55,7 @@
 	for key, change := range map[string][2]string{
 		"listen:":                              {`127.0.0.4:6565`, `nowhere`},
 		"changelog:":                           {`127.0.0.1:4222`, ``},
+		"operator:":                            {`"changelog"`, `"operator":"desk","changelog"`},
 		"seed:":                                {`8c1f30d27a5be964`, `xyz`},
 		"limits.memory_mb:":                    {`"memory_mb":192`, `"memory_mb":1`},
 		"limits.sockets:":                      {`"sockets":1024`, `"sockets":-5`},
--- a/internal/metrics/catalogue.go
+++ b/internal/metrics/catalogue.go
@@ -91,6 +91,8 @@
 	Lost
 	LostSamples
 	Breaks
+	ConfLoaded
+	ConfInvalid
 	Started
 	Sequence
 	Folded
@@ -208,6 +210,8 @@
 	Lost:              {"lost_intervals", Counter, "", Destination, "", nil, "intervals that will never be written; their counts live on in later ones"},
 	LostSamples:       {"lost_samples", Counter, "", Destination, "", nil, "values of distributions that will never be written"},
 	Breaks:            {"delivery_breaks", Counter, "", Destination, "", nil, "connections to the collector that broke or never came up"},
+	ConfLoaded:        {"conf_loaded", Counter, "", Whole, "", nil, "configuration files taken at SIGHUP"},
+	ConfInvalid:       {"conf_invalid", Counter, "", Whole, "", nil, "configuration files turned down at SIGHUP: the settings before stay in full"},
 	Started:           {"started_s", Gauge, "s", Whole, "", nil, "when this broker started, in seconds of Unix time, to the millisecond: a new value is a restart, after which counters begin at zero"},
 	Sequence:          {"sequence", Counter, "", Whole, "", nil, "number of the interval, from 1 at each start; a gap is one that was folded into a later one or lost"},
 	Folded:            {"folded", Gauge, "", Whole, "", nil, "intervals that this one is made of: 1, or more where they waited for the collector"},
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -206,3 +206,12 @@
 		}
 	}
 }
+
+// Count is the value of a counter or gauge of a series as it stands.
+func (r *Registry) Count(id ID, slot, part int) float64 { return r.counts[id][slot*id.Parts()+part] }
+
+// Each calls f for each name of a dimension that has a series of its own, and for names.Other with an empty name.
+func (r *Registry) Each(dim Dim, f func(slot int, name string)) {
+	r.tables[dim].Each(f)
+	f(names.Other, "")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,7 @@
 	meter   Meter
 	ends    ends
 	over    chan struct{} // closed once nothing of Run goes on
+	handed  []string      // bans of the process before
 
 	mu        sync.Mutex // guards what follows
 	changelog string     // address of the change log
@@ -67,7 +68,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", cfg.Listen)
+	ln, err := (&net.ListenConfig{Control: reusePort(log)}).Listen(ctx, "tcp", cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
@@ -75,6 +76,7 @@
 		clients: map[broker.Session]*client{}, nextID: broker.Session(cfg.Seed), slots: make(chan struct{}, slots),
 		changelog: cfg.Changelog, leave: func() {}, meter: unmeasured{}, over: make(chan struct{})}
 	n.pool = newPool(n)
+	n.handed = n.takeOver()
 	return n, nil
 }
 
@@ -130,6 +132,7 @@
 func (n *Node) loop(ctx context.Context, stop <-chan struct{}) error {
 	defer n.ln.Close()
 	n.apply(broker.Changes{Page: n.cfg.Known})
+	n.apply(broker.Restore{Bans: n.handed})
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	due := now()
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -1,13 +1,17 @@
-// Package service puts a broker together: the node that serves, and what reports of it where the operator's file says
-// so.
+// Package service puts a broker together: the node that serves, the second address where on-call staff call, and
+// what reports of it where the operator's file says so.
 package service
 
 import (
 	"context"
+	"fmt"
+	"net"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"wheatlane/internal/admin"
+	"wheatlane/internal/broker"
 	"wheatlane/internal/config"
 	"wheatlane/internal/node"
 	"wheatlane/internal/operator"
@@ -18,7 +22,10 @@
 type Service struct {
 	Node     *node.Node
 	reporter *telemetry.Reporter // nil: there is no operator's file
+	recorder *telemetry.Recorder // nil: neither an operator's file nor a second address
 	own      *operator.File
+	desk     net.Listener // the second address; nil: none
+	log      *zap.Logger
 }
 
 // New returns a service. own is the operator's file, or nil.
@@ -27,36 +34,104 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Service{Node: n, own: own}
-	if own != nil {
-		var rec *telemetry.Recorder
-		s.reporter, rec = telemetry.New(cfg.Name, own.Names(), n, telemetry.SystemClock(), cfg.Seed, log)
-		n.Measure(rec)
+	s := &Service{Node: n, own: own, log: log}
+	if own != nil || cfg.Operator != "" {
+		names := (&operator.File{}).Names()
+		if own != nil {
+			names = own.Names()
+		}
+		s.reporter, s.recorder = telemetry.New(cfg.Name, names, n, telemetry.SystemClock(), cfg.Seed, log)
+		n.Measure(s.recorder)
+	}
+	if cfg.Operator != "" {
+		if s.desk, err = (&net.ListenConfig{}).Listen(ctx, "tcp", cfg.Operator); err != nil {
+			n.Close()
+			return nil, fmt.Errorf("operator: %w", err)
+		}
 	}
 	return s, nil
 }
 
+// Operator is the second address, or nil.
+func (s *Service) Operator() net.Addr {
+	if s.desk == nil {
+		return nil
+	}
+	return s.desk.Addr()
+}
+
 // Run serves until ctx ends or, after a value on stop, until all that was taken is answered and the last figures have
-// left.
+// left. The second address answers until the end.
 func (s *Service) Run(ctx context.Context, stop <-chan struct{}) error {
 	g, ctx := errgroup.WithContext(ctx)
 	over := make(chan struct{}) // closed when the node has finished
+	desk, end := context.WithCancel(ctx)
+	defer end()
 	g.Go(func() error {
 		defer close(over)
+		defer end()
 		return s.Node.Run(ctx, stop)
 	})
-	if s.reporter != nil {
+	if s.own != nil {
 		g.Go(func() error { return s.reporter.Run(ctx, s.own.Telemetry, stop, over) })
 	}
+	if s.desk != nil {
+		srv := &admin.Server{Broker: calls{s}, Log: s.log}
+		g.Go(func() error { return srv.Serve(desk, s.desk) })
+	}
 	return g.Wait()
 }
 
 // Reload takes over a new configuration.
-func (s *Service) Reload(ctx context.Context, cfg config.Config) { s.Node.Reload(ctx, cfg) }
+func (s *Service) Reload(ctx context.Context, cfg config.Config) {
+	s.Node.Reload(ctx, cfg)
+	s.reloaded(ctx, true)
+}
+
+// Invalid counts a configuration file that was turned down at SIGHUP.
+func (s *Service) Invalid(ctx context.Context) { s.reloaded(ctx, false) }
+
+func (s *Service) reloaded(ctx context.Context, taken bool) {
+	if s.recorder != nil {
+		s.Node.Look(ctx, func(*broker.Broker, node.Sockets) { s.recorder.Reloaded(taken) })
+	}
+}
 
 // ReloadOwn takes over a new operator's file. One that was started without any goes on without.
 func (s *Service) ReloadOwn(ctx context.Context, own *operator.File) {
-	if s.reporter != nil {
+	if s.own != nil {
 		s.reporter.Reload(ctx, own.Telemetry)
 	}
 }
+
+// calls carries out what is called at the second address.
+type calls struct{ s *Service }
+
+func (c calls) Ready(ctx context.Context) (ready bool, err error) {
+	if !c.s.Node.Look(ctx, func(b *broker.Broker, _ node.Sockets) { ready = b.Ready() }) {
+		return false, admin.ErrBusy
+	}
+	return ready, nil
+}
+
+func (c calls) Vars(ctx context.Context, to []byte) (out []byte, err error) {
+	if !c.s.Node.Look(ctx, func(b *broker.Broker, _ node.Sockets) { out = c.s.recorder.Relay(to, b) }) {
+		return nil, admin.ErrBusy
+	}
+	return out, nil
+}
+
+func (c calls) SetDown(ctx context.Context, id string) error { return c.ban(ctx, id, true) }
+
+func (c calls) SetUp(ctx context.Context, id string) error { return c.ban(ctx, id, false) }
+
+func (c calls) ban(ctx context.Context, id string, down bool) error {
+	listed, done := c.s.Node.Ban(ctx, id, down)
+	switch {
+	case !done:
+		return admin.ErrBusy
+	case !listed:
+		return admin.ErrNotListed
+	}
+	return nil
+}
