Take classes and attempts at SIGHUP, and turn down a file with a key missing

Ruled out: the counts themselves (a table test of Relay gives them right) and the change log's own address handling.

- config.Replaces: a file read at SIGHUP replaces the one in force only if it gives every key that one gave, each class's give-up time is over 0 (and its aim, where all in force have one), and MaxAttempts is over 0; else nothing of it is taken, it is logged and counted in conf_invalid.
- control.Retune: a class that is new or changed gets a place of its own, so queries under way keep theirs; the fair queues and the share regulator grow with it. broker.Retune turns away classes that are no longer named.

--- a/cmd/wheatlane/main_test.go
+++ b/cmd/wheatlane/main_test.go
@@ -46,7 +46,7 @@
 	}
 }
 
-const some = `{"PeersTotal":1,"RequestClasses":[{"Name":"a","Effect":"repeatable","GiveUpNs":1000000000}]}`
+const some = `{"PeersTotal":1,"Limits":{"MaxAttempts":2},"RequestClasses":[{"Name":"a","Effect":"repeatable","GiveUpNs":1000000000}]}`
 
 func TestABadConfigurationNamesItsKey(t *testing.T) {
 	out, err := program(t, `{"RequestClasses":[{"Name":"a","Effect":"odd"}]}`).CombinedOutput()
--- a/cmd/wheatlane/serve.go
+++ b/cmd/wheatlane/serve.go
@@ -84,7 +84,7 @@
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return reload(ctx, hup, broker, path, log) })
+	g.Go(func() error { return reload(ctx, hup, broker, cfg, path, log) })
 	g.Go(func() error {
 		defer end()
 		return broker.Run(ctx, stop.Done())
@@ -97,19 +97,24 @@
 }
 
 // reload reads both files again at each SIGHUP. A faulty one changes nothing, and holds the other one back no more
-// than itself.
-func reload(ctx context.Context, hup <-chan os.Signal, broker *service.Service, path string, log *zap.Logger) error {
+// than itself. running is the configuration in force.
+func reload(ctx context.Context, hup <-chan os.Signal, broker *service.Service, running config.Config, path string, log *zap.Logger) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-hup:
 		}
-		if cfg, err := config.Load(os.Getenv); err != nil {
+		cfg, err := config.Load(os.Getenv)
+		if err == nil {
+			err = cfg.Replaces(running)
+		}
+		if err != nil {
 			log.Error("not reloaded, the configuration before stays", zap.Error(err))
 			broker.Invalid(ctx)
 		} else {
 			broker.Reload(ctx, cfg)
+			running = cfg
 		}
 		if path == "" {
 			continue
--- a/control/state.go
+++ b/control/state.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -806,3 +807,51 @@
 	e.sum, e.n = e.sum+took/k.Aim.Seconds(), e.n+1
 	k.latency, k.done = k.latency+(c.now-q.taken).Seconds(), k.done+1
 }
+
+// Retune takes over the classes and the ration of attempts of settings read anew. A class that is new, or whose
+// settings differ, gets a place of its own: queries under way keep the class that they came under, and their
+// place goes on until they are over. A class that is not named any more takes no new query here; the broker
+// turns those away. The other settings are those of the start.
+func (c *Controller) Retune(classes []Class, limits Limits) {
+	grew := false
+	for _, k := range classes {
+		k.Threads = max(1, k.Threads)
+		if i, ok := c.classOf[k.Name]; ok && reflect.DeepEqual(c.classes[i].Class, k) {
+			continue
+		}
+		c.classOf[k.Name] = len(c.classes)
+		c.widest = max(c.widest, float64(k.Threads))
+		guess := firstGuess * k.Aim.Seconds() * float64(k.Threads)
+		c.classes = append(c.classes, &class{Class: k, work: guess, ratio: 1, needs: firstNeeds, level: math.NaN(),
+			spreadVar: 1})
+		c.shares = append(c.shares, 1/float64(len(c.classes)))
+		grew = true
+	}
+	c.set.Limits.MaxAttempts = limits.MaxAttempts
+	if !grew {
+		return
+	}
+	sum := 0.0
+	for _, s := range c.shares {
+		sum += s
+	}
+	for i := range c.shares {
+		c.shares[i] /= sum
+	}
+	for _, e := range c.engines {
+		e.queue.grow(len(c.classes), len(c.tenants))
+	}
+	if c.pool != nil {
+		c.pool.queue.grow(len(c.classes), len(c.tenants))
+	}
+	c.leastWorth = slices.MinFunc(c.classes, func(a, b *class) int { return cmp.Compare(a.Worth, b.Worth) }).Worth
+	c.tightest = slices.MinFunc(c.classes, func(a, b *class) int { return cmp.Compare(a.Aim, b.Aim) })
+	c.share = newRegulator(2, len(c.classes), qShares, c.shares) // what it learnt was of fewer classes
+}
+
+// grow makes room for classes that came after the start.
+func (f *queue) grow(classes, tenants int) {
+	for len(f.flows) < classes {
+		f.flows = append(f.flows, flow{tenants: make([]lane, tenants)})
+	}
+}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -223,6 +223,8 @@
 		b.ban(ev.Engine, false)
 	case Restore:
 		b.restore(ev.Bans)
+	case Retune:
+		b.retune(ev.Settings)
 	}
 	return b.take()
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,9 +7,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
 
 	"wheatlane/internal/changelog"
@@ -27,6 +29,7 @@
 	Sockets   int
 	Known     changelog.Page
 	Settings  Settings
+	Keys      []string // the keys that the file gives, by their paths, sorted
 }
 
 // Defaults of what a deployment may leave out.
@@ -140,5 +143,72 @@
 		return c, errors.New("settings: missing")
 	}
 	c.Settings, err = DecodeSettings(file.Settings)
+	c.Keys = keys(text)
 	return c, err
 }
+
+// keys are the paths of the keys of a file down to the classes' own and the limits', so that a key that goes missing can
+// be told. Those of all classes are one: "settings.RequestClasses[].GiveUpNs".
+func keys(text []byte) []string {
+	var file map[string]json.RawMessage
+	var set struct {
+		RequestClasses []map[string]json.RawMessage
+		Limits         map[string]json.RawMessage
+	}
+	var settings map[string]json.RawMessage
+	if json.Unmarshal(text, &file) != nil || json.Unmarshal(file["settings"], &settings) != nil {
+		return nil
+	}
+	json.Unmarshal(file["settings"], &set) //nolint:errcheck // what can't be read has been told of before
+	all := map[string]bool{}
+	for k := range file {
+		all[k] = true
+	}
+	for k := range settings {
+		all["settings."+k] = true
+	}
+	for k := range set.Limits {
+		all["settings.Limits."+k] = true
+	}
+	for _, class := range set.RequestClasses {
+		for k := range class {
+			all["settings.RequestClasses[]."+k] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
+// Replaces tells whether a configuration read at SIGHUP may take the place of one in force: it gives every key that
+// that one gave, and each class has a time to give up, an aim where all in force have one, and the ration of attempts is over 0. A file that may not changes
+// nothing; the error names the key.
+func (c Config) Replaces(running Config) error {
+	have := map[string]bool{}
+	for _, k := range c.Keys {
+		have[k] = true
+	}
+	for _, k := range running.Keys {
+		if !have[k] {
+			return fmt.Errorf("%s: missing", k)
+		}
+	}
+	s := c.Settings.Control
+	aims := true // all classes in force have an aim: one without is a fault
+	for _, k := range running.Settings.Control.Classes {
+		aims = aims && k.Aim > 0
+	}
+	if len(s.Classes) == 0 {
+		return errors.New("settings.RequestClasses: none")
+	}
+	for i, k := range s.Classes {
+		if k.GiveUp <= 0 {
+			return fmt.Errorf("settings.RequestClasses[%d].GiveUpNs: %d is not over 0", i, k.GiveUp)
+		}
+		if k.Aim < 0 || aims && k.Aim == 0 {
+			return fmt.Errorf("settings.RequestClasses[%d].PromiseNs: %d is not over 0", i, k.Aim)
+		}
+	}
+	if s.Limits.MaxAttempts <= 0 {
+		return fmt.Errorf("settings.Limits.MaxAttempts: %d is not over 0", s.Limits.MaxAttempts)
+	}
+	return nil
+}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -97,3 +97,36 @@
 		}
 	}
 }
+
+// A file read at SIGHUP that lacks a key of the one in force, or gives a time or ration not over 0, changes nothing.
+func TestReplaces(t *testing.T) {
+	withAttempts := strings.Replace(good, `"RequestClasses"`, `"Limits":{"MaxAttempts":3},"RequestClasses"`, 1)
+	running, err := load(t, withAttempts, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name, from, to, err string
+	}{
+		{"same", "", "", ""},
+		{"a class more", `{"Name":"a",`, `{"Name":"b","Effect":"once","GiveUpNs":3000000000},{"Name":"a",`, ""},
+		{"fewer attempts", `"MaxAttempts":3`, `"MaxAttempts":1`, ""},
+		{"attempts 0", `"MaxAttempts":3`, `"MaxAttempts":0`, "settings.Limits.MaxAttempts: 0 is not over 0"},
+		{"attempts gone", `"MaxAttempts":3`, `"MaxStreams":3`, "settings.Limits.MaxAttempts: missing"},
+		{"deadline 0", `"GiveUpNs":2000000000`, `"GiveUpNs":0`, "settings.RequestClasses[0].GiveUpNs: 0 is not over 0"},
+		{"known gone", `"known"`, `"unknown"`, "known: missing"},
+		{"no classes", `[{"Name":"a","Effect":"repeatable","GiveUpNs":2000000000}]`, `[]`, "settings.RequestClasses[].Effect: missing"},
+	} {
+		next, err := load(t, strings.Replace(withAttempts, c.from, c.to, 1), nil)
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		got := ""
+		if err := next.Replaces(running); err != nil {
+			got = err.Error()
+		}
+		if !strings.HasPrefix(got, c.err) || (got == "") != (c.err == "") {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.err)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,8 +105,9 @@
 	return err
 }
 
-// Reload takes over what a new configuration says of the change log: where it is, and what it has told. All
-// else of a running broker stays as it is; keys that differ are logged, as they wait for a restart.
+// Reload takes over what a new configuration says of the change log, where it is and what it has told, and the
+// classes and ration of attempts of its settings. All else of a running broker stays as it is; keys that differ are
+// logged, as they wait for a restart. The configuration has been found to be one that may replace the one in force.
 func (n *Node) Reload(ctx context.Context, cfg config.Config) {
 	n.mu.Lock()
 	if n.changelog != cfg.Changelog {
@@ -114,8 +115,14 @@
 		n.leave()
 	}
 	n.mu.Unlock()
-	n.post(ctx, func() { n.apply(broker.Changes{Page: cfg.Known}) })
-	n.log.Info("reloaded", zap.String("changelog", cfg.Changelog), zap.Strings("need_restart", n.cfg.NeedRestart(cfg)))
+	n.post(ctx, func() {
+		n.apply(broker.Changes{Page: cfg.Known})
+		n.apply(broker.Retune{Settings: cfg.Settings.Control})
+		n.cfg.Settings.Control.Classes = cfg.Settings.Control.Classes
+		n.cfg.Settings.Control.Limits.MaxAttempts = cfg.Settings.Control.Limits.MaxAttempts
+		n.cfg.Settings.LongestGiveUp = max(n.cfg.Settings.LongestGiveUp, cfg.Settings.LongestGiveUp)
+		n.log.Info("reloaded", zap.String("changelog", cfg.Changelog), zap.Strings("need_restart", n.cfg.NeedRestart(cfg)))
+	})
 }
 
 // post hands f to the goroutine that owns the reducer. It waits while that is behind, and tells whether f was taken.
