--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -127,7 +128,7 @@
 			call, err = Parse(line)
 		}
 		if err != nil {
-			return s.write(nc, nak(nil, err, err.Error()), err)
+			return s.write(nc, nak(nil, err), err)
 		}
 		if whole {
 			break
@@ -182,7 +183,7 @@
 		err = s.Broker.SetUp(ctx, c.ID)
 	}
 	if err != nil {
-		return nak(nil, err, "")
+		return nak(nil, err)
 	}
 	reply := append([]byte("ACK "), c.Verb...)
 	if c.ID != "" {
@@ -191,18 +192,17 @@
 	return append(reply, '\n')
 }
 
-// nak words a refusal: its reason code, then what more there is to say.
-func nak(to []byte, err error, more string) []byte {
-	to = append(to, "NAK "...)
+// nak words a refusal: its reason code, then what more the error says.
+func nak(to []byte, err error) []byte {
+	reason := Reason(err)
 	switch {
 	case errors.Is(err, ErrNotListed):
-		to = append(to, ErrNotListed.Error()...)
+		reason = ErrNotListed.Error()
 	case errors.Is(err, ErrBusy), errors.Is(err, context.DeadlineExceeded):
-		to = append(to, ErrBusy.Error()...)
-	default:
-		to = append(to, Reason(err)...)
+		reason = ErrBusy.Error()
 	}
-	if more != "" {
+	to = append(append(to, "NAK "...), reason...)
+	if more, ok := strings.CutPrefix(err.Error(), reason+": "); ok {
 		to = append(append(to, ' '), more...)
 	}
 	return append(to, '\n')
