--- a/internal/standin/troupe/troupe.go
+++ b/internal/standin/troupe/troupe.go
@@ -118,3 +118,23 @@
 	}
 	return nil
 }
+
+// Plain starts n engines of the chart service that run classes, without faults, and a change log that lists them,
+// each in g until ctx ends.
+func Plain(ctx context.Context, g *errgroup.Group, n int, classes []engine.Class) (*fleet.Log, []fleet.Host, error) {
+	var hosts []fleet.Host
+	for i := range n {
+		e, err := engine.NewServer(fmt.Sprint("s-", i), classes, Size, nil)
+		if err != nil {
+			return nil, nil, err
+		}
+		g.Go(func() error { return e.Run(ctx) })
+		hosts = append(hosts, fleet.Host{ID: e.ID, Addr: e.Addr(), Class: Kind})
+	}
+	changes, err := fleet.New("127.0.0.1:0", hosts, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	g.Go(func() error { return changes.Run(ctx) })
+	return changes, hosts, nil
+}
--- a/measure/operator/main.go
+++ b/measure/operator/main.go
@@ -22,8 +22,6 @@
 	"wheatlane/internal/config"
 	"wheatlane/internal/service"
 	"wheatlane/internal/standin/client"
-	"wheatlane/internal/standin/engine"
-	"wheatlane/internal/standin/fleet"
 	"wheatlane/internal/standin/troupe"
 )
 
@@ -55,20 +53,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	var hosts []fleet.Host
-	for i := range 4 {
-		e, err := engine.NewServer(fmt.Sprint("s-", i), troupe.Classes, troupe.Size, nil)
-		if err != nil {
-			return err
-		}
-		g.Go(func() error { return e.Run(ctx) })
-		hosts = append(hosts, fleet.Host{ID: e.ID, Addr: e.Addr(), Class: troupe.Kind})
-	}
-	changes, err := fleet.New("127.0.0.1:0", hosts, nil)
+	changes, hosts, err := troupe.Plain(ctx, g, 4, troupe.Classes)
 	if err != nil {
 		return err
 	}
-	g.Go(func() error { return changes.Run(ctx) })
 	text, err := troupe.Configuration("desk", 1, changes)
 	if err != nil {
 		return err
--- a/measure/telemetry/endtoend.go
+++ b/measure/telemetry/endtoend.go
@@ -143,20 +143,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
-	var hosts []fleet.Host
-	for i := range 4 {
-		e, err := engine.NewServer(fmt.Sprint("s-", i), lookups, troupe.Size, nil)
-		if err != nil {
-			return err
-		}
-		g.Go(func() error { return e.Run(ctx) })
-		hosts = append(hosts, fleet.Host{ID: e.ID, Addr: e.Addr(), Class: troupe.Kind})
-	}
-	changes, err := fleet.New("127.0.0.1:0", hosts, nil)
+	changes, _, err := troupe.Plain(ctx, g, 4, lookups)
 	if err != nil {
 		return err
 	}
-	g.Go(func() error { return changes.Run(ctx) })
 	ledger := collector.NewLedger(nil)
 	collectors := map[string]*collector.Carbon{}
 	brokers := []*brokerProcess{}
