End TestReload within a minute when a line it waits for never comes

A watchdog ends the program after 60 s, which ends the log, and the wait for a poll has 20 s; without MaxAttempts the test now fails after 60 s naming the line.

--- a/cmd/wheatlane/main_test.go
+++ b/cmd/wheatlane/main_test.go
@@ -46,6 +46,8 @@
 	}
 }
 
+const patience = 20 * time.Second // a test that waits so long has failed
+
 const some = `{"PeersTotal":1,"Limits":{"MaxAttempts":2},"RequestClasses":[{"Name":"a","Effect":"repeatable","GiveUpNs":1000000000}]}`
 
 func TestABadConfigurationNamesItsKey(t *testing.T) {
@@ -119,8 +121,13 @@
 	}
 	heard := func(want string) {
 		t.Helper()
-		if got := <-asked; got != want {
-			t.Fatalf("asked %s, want %s", got, want)
+		select {
+		case got := <-asked:
+			if got != want {
+				t.Fatalf("asked %s, want %s", got, want)
+			}
+		case <-time.After(patience):
+			t.Fatalf("not asked %s", want)
 		}
 	}
 	cmd := program(t, some)
@@ -133,6 +140,9 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
+	// A line that never comes ends the log, and with it the wait for that line.
+	watchdog := time.AfterFunc(3*patience, func() { cmd.Process.Kill() })
+	defer watchdog.Stop()
 	lines := bufio.NewScanner(logs)
 	heard("first since 0")
 	heard("first since 7")
