Keep bans in the decision module, and test that a request under way keeps its class

Read over: the reducer hid a ban from the module by telling it the engine drained, so the decision sat in the reducer and a list that came between depended on the reducer's masking. Now control.Ban is an event of the module: it keeps what the list says (said) beside what it follows, and an engine left out by hand is followed as draining, for sends, probes and capacity alike; a ban may come before the list names the engine. The reducer keeps the set for check, vars and the handover. Tests: the broker's tests of bans fail (2) with the module's ban switched off.

Also: TestRetune could not fail on its last check (a Want's class comes from its own request); it now answers the request under way after its class vanished and wants the result. NAK reasons come from admin.Reason alone; the registry's slot is names.Other.

--- a/control/api.go
+++ b/control/api.go
@@ -212,6 +212,12 @@
 	}
 	// Timer returns the token of a SetTimer.
 	Timer struct{ Token uint64 }
+	// Ban leaves an engine out by hand (Down), or lets it in again: while it is out, nothing new goes to it,
+	// whatever the list says of it. It may name an engine that the list has not named yet.
+	Ban struct {
+		Engine string
+		Down   bool
+	}
 )
 
 func (Arrival) event()     {}
@@ -222,6 +228,7 @@
 func (ProbeResult) event() {}
 func (List) event()        {}
 func (Timer) event()       {}
+func (Ban) event()         {}
 
 // Action is one thing to do; see the types below.
 type Action interface{ action() }
--- a/control/state.go
+++ b/control/state.go
@@ -24,6 +24,7 @@
 	hash      int     // of its ID
 	lot       *engine // holds its queue and bound: itself, or the pool
 	listed    bool
+	said      EngineState // what the list says; State is what is followed
 	cores     float64
 	memory    float64 // MB
 	threads   int     // of attempts out
@@ -165,6 +166,7 @@
 	askAt      time.Duration // when the list may be asked for again
 	watching   bool
 	loggedAt   map[string]time.Duration
+	banned     map[string]bool // engines left out by hand
 }
 
 // queue is start-time fair queuing by class, and within a class by tenant.
@@ -227,6 +229,8 @@
 			c.probed(ev)
 		case List:
 			c.list(ev)
+		case Ban:
+			c.ban(ev)
 		}
 	}
 	for _, ev := range events {
@@ -354,7 +358,7 @@
 	c := &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 0x7461)), classOf: map[string]int{},
 		tenantOf: map[string]int{}, engineOf: map[string]*engine{}, queries: map[string]*query{},
 		lines: map[string]*keyLine{}, alarms: map[uint64]func(){}, token: firstToken,
-		loggedAt: map[string]time.Duration{}, part: 1 / float64(set.Gateways)}
+		loggedAt: map[string]time.Duration{}, banned: map[string]bool{}, part: 1 / float64(set.Gateways)}
 	for i, k := range set.Classes {
 		k.Threads = max(1, k.Threads)
 		c.widest = max(c.widest, float64(k.Threads))
@@ -588,10 +592,8 @@
 			e.down, e.fails, e.slow, e.samples = false, 0, c.best, 0 // what was believed is void
 			e.fullAt, e.lost, e.evidence = -1, 0, 0
 		}
-		e.Engine, e.listed = in, in.State != Gone
-		if in.State != Ready {
-			c.vacate(e)
-		}
+		e.Engine, e.listed, e.said = in, in.State != Gone, in.State
+		c.hold(e)
 	}
 	if ev.Kind == Whole {
 		for _, e := range c.engines {
@@ -855,3 +857,28 @@
 		f.flows = append(f.flows, flow{tenants: make([]lane, tenants)})
 	}
 }
+
+// ban leaves an engine out by hand, or lets it in again.
+func (c *Controller) ban(ev Ban) {
+	if ev.Down {
+		c.banned[ev.Engine] = true
+	} else {
+		delete(c.banned, ev.Engine)
+	}
+	if e := c.engineOf[ev.Engine]; e != nil {
+		c.hold(e)
+		c.resize()
+	}
+}
+
+// hold follows what the list says of an engine, unless it is left out by hand: then it is followed as one that
+// drains, and nothing new goes to it.
+func (c *Controller) hold(e *engine) {
+	e.State = e.said
+	if c.banned[e.ID] && e.State == Ready {
+		e.State = Draining
+	}
+	if e.State != Ready {
+		c.vacate(e)
+	}
+}
--- a/internal/admin/call.go
+++ b/internal/admin/call.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"unicode/utf8"
@@ -43,9 +44,12 @@
 	ErrExtra     = errors.New("extra_argument")
 )
 
-// Reason is the word of a NAK for an error of Parse or of carrying a call out.
+// Reason is the word of a NAK for an error of Parse or of carrying a call out; a call that ran out of time is busy.
 func Reason(err error) string {
-	for _, e := range []error{ErrEmpty, ErrTooLong, ErrNotUTF8, ErrUnknown, ErrMissingID, ErrExtra} {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return ErrBusy.Error()
+	}
+	for _, e := range []error{ErrEmpty, ErrTooLong, ErrNotUTF8, ErrUnknown, ErrMissingID, ErrExtra, ErrNotListed, ErrBusy} {
 		if errors.Is(err, e) {
 			return e.Error()
 		}
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -195,12 +195,6 @@
 // nak words a refusal: its reason code, then what more the error says.
 func nak(to []byte, err error) []byte {
 	reason := Reason(err)
-	switch {
-	case errors.Is(err, ErrNotListed):
-		reason = ErrNotListed.Error()
-	case errors.Is(err, ErrBusy), errors.Is(err, context.DeadlineExceeded):
-		reason = ErrBusy.Error()
-	}
 	to = append(append(to, "NAK "...), reason...)
 	if more, ok := strings.CutPrefix(err.Error(), reason+": "); ok {
 		to = append(append(to, ' '), more...)
--- a/internal/broker/bans.go
+++ b/internal/broker/bans.go
@@ -57,7 +57,7 @@
 // Size is how many engines are in the list.
 func (b *Broker) Size() int { return len(b.engines) }
 
-// ban leaves an engine out, or lets it in again, and tells the decision module of the state that it is to see.
+// ban leaves an engine out, or lets it in again; the decision module keeps anything new from it.
 func (b *Broker) ban(id string, down bool) {
 	if b.bans[id] == down || !b.listed[id] {
 		return
@@ -67,23 +67,13 @@
 	} else {
 		delete(b.bans, id)
 	}
-	if h, ok := b.engines[id]; ok {
-		b.tell(control.List{Kind: control.Delta, Engines: []control.Engine{b.seen(h.Engine)}})
-		if down {
-			b.do(DropUnsent{id})
-		}
+	b.tell(control.Ban{Engine: id, Down: down})
+	if _, ok := b.engines[id]; ok && down {
+		b.do(DropUnsent{id})
 	}
 	b.count()
 }
 
-// seen is an engine as the decision module is to see it: one left out by hand drains.
-func (b *Broker) seen(e control.Engine) control.Engine {
-	if b.bans[e.ID] && e.State == control.Ready {
-		e.State = control.Draining
-	}
-	return e
-}
-
 // remember keeps that an engine was listed.
 func (b *Broker) remember(id string) {
 	if len(b.listed) >= mostListed {
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -609,7 +609,7 @@
 			for _, id := range b.host(h) {
 				list.Engines = append(list.Engines, control.Engine{ID: id, State: control.Gone})
 			}
-			list.Engines = append(list.Engines, b.seen(h.Engine))
+			list.Engines = append(list.Engines, h.Engine)
 			if h.State != control.Gone {
 				b.remember(h.ID)
 			}
--- a/internal/broker/retune_test.go
+++ b/internal/broker/retune_test.go
@@ -8,10 +8,13 @@
 )
 
 // A class that appears at a reload is served, one that vanishes takes no new request, and a request under way
-// keeps its class.
+// keeps its class: it is answered when its engine answers.
 func TestRetune(t *testing.T) {
 	r := newRig(t, host("e1", "a:1", control.Ready))
-	r.submit(1, "lookup", "", 400*ms)
+	first := of[Want](r.submit(1, "lookup", "", 400*ms))
+	if len(first) != 1 {
+		t.Fatalf("sent %+v", first)
+	}
 	set := settings()
 	set.Classes = []control.Class{{Name: "report", Aim: 2 * time.Second, Worth: 5, Threads: 1}}
 	set.Limits.MaxAttempts = 1
@@ -23,9 +26,8 @@
 	if got := of[Reply](r.submit(3, "lookup", "", 400*ms)); len(got) != 1 || got[0].Kind != BadFields {
 		t.Fatalf("the class that went: %+v", got)
 	}
-	for _, w := range of[Want](r.got) {
-		if w.Ref == "0000000000000001" && w.Class != "lookup" {
-			t.Fatalf("under way: %+v", w)
-		}
+	got = r.apply(Served{Attempt: first[0].Attempt, Pages: 1, Body: []byte("1\t2\t3\n")})
+	if replies := of[Reply](got); len(replies) != 1 || replies[0].Session != 1 || replies[0].Kind != Result {
+		t.Fatalf("the request under way: %+v", replies)
 	}
 }
--- a/internal/telemetry/relay.go
+++ b/internal/telemetry/relay.go
@@ -6,6 +6,7 @@
 
 	"wheatlane/internal/broker"
 	figures "wheatlane/internal/metrics"
+	"wheatlane/internal/names"
 )
 
 // labelValue escapes a value of a label as the text exposition form has it.
@@ -51,8 +52,8 @@
 		{"relay_current", float64(b.Open())},
 		{"relay_cluster_size", float64(b.Size())},
 		{"relay_cluster_unhealthy", float64(b.Unhealthy())},
-		{"relay_conf_loaded_total", r.reg.Count(figures.ConfLoaded, 0, 0)},
-		{"relay_conf_invalid_total", r.reg.Count(figures.ConfInvalid, 0, 0)},
+		{"relay_conf_loaded_total", r.reg.Count(figures.ConfLoaded, names.Other, 0)},
+		{"relay_conf_invalid_total", r.reg.Count(figures.ConfInvalid, names.Other, 0)},
 	} {
 		to = append(append(to, f.name...), ' ')
 		to = strconv.AppendFloat(to, f.v, 'f', -1, 64)
@@ -64,8 +65,8 @@
 // Reloaded counts a configuration file read at SIGHUP, taken or turned down.
 func (r *Recorder) Reloaded(taken bool) {
 	if taken {
-		r.reg.Add(figures.ConfLoaded, 0, 0, 1)
+		r.reg.Add(figures.ConfLoaded, names.Other, 0, 1)
 	} else {
-		r.reg.Add(figures.ConfInvalid, 0, 0, 1)
+		r.reg.Add(figures.ConfInvalid, names.Other, 0, 1)
 	}
 }
