Ask an engine connection whether it is alive only once an answer on it is due

The pool's judge (internal/node/pool.go) asked every connection with anything out and nothing heard for 500 ms, so each route report (0.5 to 2 s on its engine) or survey load cost its engine a probe every half second from every broker.

An attempt given up for its age on a connection silent for that long has the connection asked at once, so a machine that vanished is still found when the module calls the attempt off.

--- a/control/api.go
+++ b/control/api.go
@@ -234,11 +234,13 @@
 type Action interface{ action() }
 
 type (
-	// Send starts the next attempt of a query. Timeout 0 means the client's deadline.
+	// Send starts the next attempt of a query. Timeout 0 means the client's deadline. Due is how long its answer
+	// may take before it is likelier lost than late; 0: not said.
 	Send struct {
 		Query   string
 		Engine  string
 		Timeout time.Duration
+		Due     time.Duration
 	}
 	// Refuse is a final answer that invites the client to try again.
 	Refuse struct {
--- a/control/control.go
+++ b/control/control.go
@@ -442,7 +442,8 @@
 		e.trialAt = c.now + c.trialWait()
 	}
 	// Only a trial on a doubtful engine ends early, for another try: work that is cut off is lost.
-	usual, to := c.patienceFor(q, e), Send{Query: q.ID, Engine: e.ID}
+	usual := c.patienceFor(q, e)
+	to := Send{Query: q.ID, Engine: e.ID, Due: usual}
 	if e.down && 2*usual < q.Deadline-c.now {
 		to.Timeout = usual
 	}
--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -171,6 +171,7 @@
 		Class    string
 		Idem     string
 		Patience time.Duration
+		Due      time.Duration // the module's: later, its answer is likelier lost than late; 0: not said
 		GrantMB  float64
 		Priority int
 		Body     string
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -403,7 +403,7 @@
 	}
 	b.meter.Sent(r.Class)
 	b.do(Want{Attempt: a.id, Engine: e.ID, Addr: e.Addr, Ref: r.Ref, Class: r.Class, Idem: r.Idem,
-		Patience: until - now, GrantMB: r.grantMB, Priority: r.priority, Body: r.Body})
+		Patience: until - now, Due: s.Due, GrantMB: r.grantMB, Priority: r.priority, Body: r.Body})
 	b.after(until, func(time.Duration) { b.giveUp(a, control.TimedOut) })
 }
 
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -66,8 +66,9 @@
 	message []byte // what waits for the connection
 	start   int64  // offset of its first byte
 	at      time.Time
-	served  bool // its pages are being read
-	ending  bool // it was given up, and the engine is being told
+	due     time.Duration // its answer is not missed before so long after at
+	served  bool          // its pages are being read
+	ending  bool          // it was given up, and the engine is being told
 	done    bool
 }
 
@@ -87,7 +88,8 @@
 	if w.Priority != standardRank {
 		fields = strconv.AppendInt(append(fields, ",urgency="...), int64(w.Priority), 10)
 	}
-	s := &stream{id: w.Ref, attempt: w.Attempt, message: resp.Append(nil, "want", w.Ref, string(fields), w.Body)}
+	s := &stream{id: w.Ref, attempt: w.Attempt, due: max(silentFor, w.Due),
+		message: resp.Append(nil, "want", w.Ref, string(fields), w.Body)}
 	p.out[w.Attempt] = s
 	delete(p.left, w.Engine) // it is in service again
 	p.start(w.Engine, w.Addr, s)
@@ -96,7 +98,7 @@
 // probe asks an engine for its load.
 func (p *pool) probe(e broker.Probe) {
 	id := probeMark + strconv.FormatUint(e.Tag, 10)
-	p.start(e.Engine, e.Addr, &stream{id: id, tag: e.Tag, message: resp.Append(nil, "busy", id)})
+	p.start(e.Engine, e.Addr, &stream{id: id, tag: e.Tag, due: silentFor, message: resp.Append(nil, "busy", id)})
 }
 
 // start puts a stream on a connection with room, on a new one, or ends it where there can be none.
@@ -277,6 +279,11 @@
 	if c.gone {
 		return
 	}
+	// What is given up for its age on a connection silent for long may have been lost with its engine's machine.
+	if now := time.Now(); c.doubtAt.IsZero() && now.Sub(c.heard) > silentFor && now.Sub(s.at) > silentFor {
+		c.doubtAt = now
+		p.say(c, "there", doubtMark)
+	}
 	c.link.then(func() {
 		p.n.post(p.n.ctx, func() {
 			if !s.done {
@@ -295,39 +302,66 @@
 	p.remove(s)
 }
 
-// judge asks whether a connection is alive on which something is out and nothing came for long; it takes nothing new
-// until a word comes. One that was asked and said nothing is closed: all that is out on it ends. Guards against
+// judge asks whether a connection is alive on which an answer is due and nothing came for long; it takes nothing
+// new until a word comes. One that was asked and said nothing is closed: all that is out on it ends. Guards against
 // engines whose machine vanished and answers that stop for good, which leave a connection open and silent: a new
 // one comes up or proves that nothing ran.
 func (p *pool) judge() {
 	now := time.Now()
 	for _, conns := range p.conns {
 		for _, c := range slices.Clone(conns) {
-			switch {
-			case c.link == nil || len(c.streams) == 0 && c.doubtAt.IsZero():
-			case c.heard.After(c.doubtAt) && !c.doubtAt.IsZero():
+			if c.link == nil {
+				continue
+			}
+			switch judgement(now, c.heard, c.doubtAt, c.due()) {
+			case trust:
 				c.doubtAt = time.Time{}
-			case !c.doubtAt.IsZero():
-				if now.Sub(c.doubtAt) > doubtFor {
-					p.close(c, Retired)
-				}
-			case now.Sub(c.heard) > silentFor && now.Sub(c.oldest()) > silentFor:
+			case doubt:
 				c.doubtAt = now
 				p.say(c, "there", doubtMark)
+			case retire:
+				p.close(c, Retired)
 			}
 		}
 	}
 }
 
-// oldest is when the first of what is out was sent.
-func (c *upstream) oldest() time.Time {
-	at := time.Now()
+// verdict is what a look at a connection that is up decides.
+type verdict int
+
+const (
+	keep   verdict = iota // nothing changes
+	trust                 // a word came since it was asked: it is alive
+	doubt                 // it is asked whether it is alive
+	retire                // it was asked and said nothing in time
+)
+
+// judgement looks at a connection that was last heard at heard, was asked whether it is alive at doubtAt (zero: it
+// was not) and on which the first answer is due at due (zero: none is owed). A connection is doubted only once an
+// answer on it is due: an answer that takes long is no sign of a silent engine, and asking every connection with
+// long queries out costs each engine a probe from every broker every half second (fleet days at size: a probe
+// price of 0.05 of G on join+vast).
+func judgement(now, heard, doubtAt, due time.Time) verdict {
+	switch {
+	case !doubtAt.IsZero() && heard.After(doubtAt):
+		return trust
+	case !doubtAt.IsZero() && now.Sub(doubtAt) > doubtFor:
+		return retire
+	case doubtAt.IsZero() && !due.IsZero() && now.After(due) && now.Sub(heard) > silentFor:
+		return doubt
+	}
+	return keep
+}
+
+// due is when the first answer is due of what is out; zero if nothing is.
+func (c *upstream) due() time.Time {
+	var first time.Time
 	for _, s := range c.streams {
-		if s.at.Before(at) {
-			at = s.at
+		if at := s.at.Add(s.due); first.IsZero() || at.Before(first) {
+			first = at
 		}
 	}
-	return at
+	return first
 }
 
 func (p *pool) turn(e broker.Turn) {
