Learn a broker's share of the traffic from its first intervals, not from the even one

From its first second it refused lookups as hopeless with its pool's report at 0.31 and no sign of pressure: 8 threads out, 22 to 28 queued, a bound of 4.6 threads, because its part of the traffic stood at 0.0127, the even part of 80 (1/80), while it took several times the mean.

The change (control/state.go, measure): rates and the part are at first the mean of the intervals seen so far, and move by their gains only once as many intervals have passed as the gain is long (gain = max(g, 1/k)). The gains stay as they were.

--- a/control/state.go
+++ b/control/state.go
@@ -163,6 +163,7 @@
 	evidence   float64       // answers of late, fading
 	lost       float64       // and those that never came
 	part       float64       // this gateway's part of the traffic, as far as it can tell
+	measured   int           // intervals measured since the start
 	askAt      time.Duration // when the list may be asked for again
 	watching   bool
 	loggedAt   map[string]time.Duration
@@ -466,9 +467,10 @@
 // measure closes an interval: rates, this gateway's part of the traffic, and per class inverse latency and
 // throughput.
 func (c *Controller) measure(gap time.Duration) (y []float64, seen []bool, served float64) {
+	c.measured++
 	total, quota := 0.0, 0.0
 	for _, t := range c.tenants {
-		t.rate += rateGain * (float64(t.arrived)/gap.Seconds() - t.rate)
+		t.rate += c.gain(rateGain) * (float64(t.arrived)/gap.Seconds() - t.rate)
 		t.arrived = 0
 		total += t.rate
 		quota += t.Quota
@@ -477,16 +479,16 @@
 		even := 1 / float64(c.set.Gateways)
 		part := min(1, max(leastPart*even, total/quota))
 		if c.pool == nil {
-			c.part += partGain * (part - c.part)
+			c.part += c.gain(partGain) * (part - c.part)
 		} else if !c.pressed(c.pool) { // under pressure retries are counted again
-			c.part += poolGain * (part - c.part)
+			c.part += c.gain(poolGain) * (part - c.part)
 		}
 	}
 	work, rate := 0.0, leastRate
 	n := len(c.classes)
 	y, seen = make([]float64, 2*n), make([]bool, n)
 	for i, k := range c.classes {
-		k.rate += rateGain * (float64(k.arrived)/gap.Seconds() - k.rate)
+		k.rate += c.gain(rateGain) * (float64(k.arrived)/gap.Seconds() - k.rate)
 		k.arrived = 0
 		work, rate = work+k.rate*k.work, rate+k.rate
 		if k.done > 0 {
@@ -511,6 +513,13 @@
 	return y, seen, served
 }
 
+// gain is the weight of this interval in a mean that moves by g: at first the mean of all intervals so far. Guards
+// against a start from a guess that a mean would take many intervals to leave: a broker of a fleet that gets several
+// times the mean traffic was held to the even part of the bounds for most of a day (poolGain: 20 s to move two thirds).
+func (c *Controller) gain(g float64) float64 {
+	return max(g, 1/float64(max(1, c.measured)))
+}
+
 // full says whether an engine said within a time that it was full.
 func (c *Controller) full(e *engine, within time.Duration) bool {
 	return e.fullAt >= 0 && c.now-e.fullAt < within
