Say once in the log when the system refuses TCP_INFO, and count waits from reading then

A client's wait is counted from when the kernel took its bytes (TCP_INFO); where a filter of system calls refuses that, the wait was counted from reading without a word. Now the first refusal is logged as a warning and the fallback is as before.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
 	"wheatlane/internal/broker"
@@ -117,7 +118,7 @@
 			}
 			return err
 		}
-		sent := now() - sinceReceived(l.nc)
+		sent := now() - c.n.sinceReceived(l.nc)
 		for {
 			seq, payload, size, err := mysql.ParsePacket(l.in.Bytes())
 			if err != nil {
@@ -268,8 +269,9 @@
 }
 
 // sinceReceived is how long ago the kernel took the last bytes in: a client's wait begins when it sent them,
-// not when a busy broker comes to read them.
-func sinceReceived(nc net.Conn) time.Duration {
+// not when a busy broker comes to read them. A system that refuses TCP_INFO (a filter of system calls may answer
+// ENOSYS) leaves waits counted from reading, which is said once in the log.
+func (n *Node) sinceReceived(nc net.Conn) time.Duration {
 	tcp, ok := nc.(*net.TCPConn)
 	if !ok {
 		return 0
@@ -279,13 +281,18 @@
 		return 0
 	}
 	var since time.Duration
+	var refused error
 	if err := raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+		var info *unix.TCPInfo
+		if info, refused = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); refused == nil {
 			since = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 	}); err != nil {
 		return 0
 	}
+	if refused != nil && n.tcpInfoRefused.CompareAndSwap(false, true) {
+		n.log.Warn("TCP_INFO refused: a client's wait is counted from when its bytes are read", zap.Error(refused))
+	}
 	return since
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,9 +59,11 @@
 	logged  cost.Book // as it stood at the last line costs
 	costsAt time.Time
 	polls   atomic.Uint64 // calls to the change log, counted where they are made
-	ends    ends
-	over    chan struct{} // closed once nothing of Run goes on
-	handed  []string      // bans of the process before
+
+	tcpInfoRefused atomic.Bool // the system refused TCP_INFO once, which was logged
+	ends           ends
+	over           chan struct{} // closed once nothing of Run goes on
+	handed         []string      // bans of the process before
 
 	mu        sync.Mutex // guards what follows
 	changelog string     // address of the change log
