--- a/control/control.go
+++ b/control/control.go
@@ -234,8 +234,8 @@
 // place queues a query at the eligible engine with most room under its bound, or at the pool.
 func (c *Controller) place(q *query, not *engine) {
 	q.not = not
-	// What is more work than the mean query goes to the best of a few engines whose load is asked for; not what
-	// the pool refuses whatever they say, as every broker of a fleet would probe for queries that it then refuses.
+	// What is more work than the mean query goes to the best of a few engines whose load is asked; not
+	// what the pool refuses whatever they say: a fleet would probe for queries that it then refuses.
 	if c.set.Limits.Probing && !q.probed && c.classes[q.c].work > c.meanWork &&
 		(c.pool == nil || len(q.attempts) > 0 || !c.hopeless(q, c.pool)) {
 		q.probed = true
