Spread over time what a fleet does at once: refused clients' returns, calls to a lost change log

Need: 80 brokers refuse in the same moment and lose the same change log at once. Refused clients now get a time spread evenly up to the longest that they follow; pauses at the change log come from cenkalti/backoff, spread by half.

--- a/control/control.go
+++ b/control/control.go
@@ -129,7 +129,7 @@
 	if !ran || k.Effect == Repeatable || k.Effect == Keyed && k.Scope == ScopeAll {
 		r := Refuse{Query: q.ID}
 		if c.set.Limits.RetryHints {
-			r.RetryIn = min(c.set.Limits.MaxRetryWait, seconds(0.3+0.7*c.rng.Float64()))
+			r.RetryIn = c.retryIn()
 		}
 		c.do(r)
 	} else {
@@ -138,6 +138,14 @@
 	c.close(q)
 }
 
+// retryIn is when a refused client is asked to come back: spread evenly up to the longest wait that clients
+// follow, as what a fleet refuses at once must not come back at once.
+func (c *Controller) retryIn() time.Duration {
+	hi := min(c.set.Limits.MaxRetryWait, time.Second)
+	lo := min(300*time.Millisecond, hi/2)
+	return lo + time.Duration(c.rng.Float64()*float64(hi-lo))
+}
+
 // permit is the gate: every send passes it, and it holds the seven rules.
 func (c *Controller) permit(q *query, e *engine) bool {
 	k, r := c.classes[q.c], &c.set.Rules
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1199,3 +1199,27 @@
 		t.Fatalf("after 3 s its part is %.1f even parts, want about 6", part)
 	}
 }
+
+// Refused clients are told to come back at times spread over what they follow, not most of them at its end: those
+// refused by a fleet in the same moment would come back in the same moment. Seen: 71 in 100 told 500 ms exactly.
+func TestRefusedClientsComeBackSpread(t *testing.T) {
+	for _, most := range []time.Duration{500 * ms, 2 * time.Second, 100 * ms} {
+		s := base()
+		s.Limits.RetryHints, s.Limits.MaxRetryWait = true, most
+		r := newRig(t, s, eng("e1"))
+		hi := min(most, time.Second)
+		atTop := 0
+		for range 1000 {
+			in := r.c.retryIn()
+			if in < min(300*ms, hi/2) || in > hi {
+				t.Fatalf("told %v where clients follow up to %v", in, most)
+			}
+			if hi-in < hi/50 {
+				atTop++
+			}
+		}
+		if atTop > 50 {
+			t.Fatalf("%d of 1000 told to come back within 2%% of %v", atTop, hi)
+		}
+	}
+}
--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/cenkalti/backoff/v4"
+
 	"wheatlane/internal/broker"
 	"wheatlane/internal/changelog"
 )
@@ -16,12 +18,15 @@
 	logConnect  = 500 * time.Millisecond
 	firstPause  = 20 * time.Millisecond
 	longPause   = 500 * time.Millisecond
+	pauseSpread = 0.5 // a pause is so much shorter or longer at random
 	mostPending = changelog.MostBody + 64<<10
 )
 
-// follow keeps a long poll at the change log. The first try after a loss or a move comes at once.
+// follow keeps a long poll at the change log. The first try after a loss or a move comes at once; the next ones
+// after pauses that grow and are spread at random, as every broker of a fleet loses the same change log at once and
+// would otherwise call it again in step.
 func (n *Node) follow(ctx context.Context, since int64) error {
-	pause := time.Duration(0)
+	pause, retry := time.Duration(0), pauses()
 	for ctx.Err() == nil {
 		at, addr := n.here(ctx)
 		began, before := time.Now(), since
@@ -33,12 +38,14 @@
 		n.ended(ChangelogSide, addr, began, err)
 		if moved || since > before || time.Since(began) > pollWait {
 			pause = 0
+			retry.Reset()
 		}
 		select {
 		case <-at.Done():
 			pause = 0
+			retry.Reset()
 		case <-time.After(pause):
-			pause = min(longPause, max(firstPause, 2*pause))
+			pause = retry.NextBackOff()
 		}
 	}
 	return ctx.Err()
@@ -107,3 +114,13 @@
 		}
 	})
 }
+
+// pauses are those between tries at a change log that does not answer: from firstPause, doubling up to longPause,
+// each spread by pauseSpread; they never stop.
+func pauses() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval, b.Multiplier = firstPause, longPause, 2
+	b.RandomizationFactor, b.MaxElapsedTime = pauseSpread, 0
+	b.Reset()
+	return b
+}
