Brokers tell one another the engines' loads, and draw engines for heavy queries by chance

Yet 12 engines held 30 to 86 threads while 18 just started held 1 to 8, work done fell from 230 to 80 a second, and most brokers believed no pressure. Ruled out: unknown load (it is probed), late lists (new engines got sends within a second), lost answers (1 in 1,000). At fault: pick (control.go) took the engine with most room by news 1 to 8 s old, as every broker did; place probed three engines at random before a query had to wait in the pool; a cold engine that a twentieth of the brokers may use at a time counted for each of them like any other; the pool's load was the plain mean of what one broker had probed.

Now brokers send datagrams to one another (internal/peer, 256 bytes, five a second, to one drawn by chance) with the loads that they know; engines are drawn with a weight of exp(room/0.6); whose turn it is at a cold engine counts it for all; three engines are drawn and asked as a query leaves the pool, not before; the pool's load is what its threads meet.

--- a/control/api.go
+++ b/control/api.go
@@ -3,7 +3,10 @@
 // clock and starts no goroutine: events go in, actions come out.
 package control
 
-import "time"
+import (
+	"hash/fnv"
+	"time"
+)
 
 // Effect says what a repeat of a query does.
 type Effect int
@@ -65,6 +68,7 @@
 	Cancel       bool          // attempts may be cancelled
 	Copies       bool          // two attempts of a query may be out at once
 	Probing      bool          // engines may be probed
+	Peers        bool          // gateways may tell one another
 }
 
 // Rules holds the figures of the rules.
@@ -167,6 +171,20 @@
 	AskFailed
 )
 
+// LoadReport is an engine's load as it reported it to one of the gateways, and how long ago.
+type LoadReport struct {
+	Engine uint32 // Mark of its ID
+	Load   float64
+	Age    time.Duration
+}
+
+// Mark stands for an engine's ID between gateways, in four bytes.
+func Mark(id string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(id)) //nolint:errcheck // it never fails
+	return h.Sum32()
+}
+
 // Event is one thing that happened; see the types below.
 type Event interface{ event() }
 
@@ -205,6 +223,11 @@
 		Took   time.Duration
 		Report []float64
 	}
+	// Heard is what another gateway told.
+	Heard struct {
+		Gateway int
+		Reports []LoadReport
+	}
 	// List is news about the list of engines.
 	List struct {
 		Kind    ListKind
@@ -226,6 +249,7 @@
 func (Started) event()     {}
 func (Note) event()        {}
 func (ProbeResult) event() {}
+func (Heard) event()       {}
 func (List) event()        {}
 func (Timer) event()       {}
 func (Ban) event()         {}
@@ -267,6 +291,11 @@
 	}
 	// Probe asks an engine for its load.
 	Probe struct{ Engine string }
+	// Tell tells another gateway of engines' loads, once and with no answer.
+	Tell struct {
+		Gateway int
+		Reports []LoadReport
+	}
 	// Watch subscribes to changes of the list.
 	Watch struct{}
 	// Log is a line for the operators.
@@ -280,5 +309,6 @@
 func (Terms) action()    {}
 func (SetTimer) action() {}
 func (Probe) action()    {}
+func (Tell) action()     {}
 func (Watch) action()    {}
 func (Log) action()      {}
--- a/control/control.go
+++ b/control/control.go
@@ -80,6 +80,8 @@
 	probes       = 3                      // ours: engines probed for a query
 	reportLasts  = 5.0                    // ours: seconds in which a report loses most of its weight
 	reportAge    = 250 * time.Millisecond // price of probes: a younger report is as good as a new one
+	tellEvery    = 200 * time.Millisecond // ours: another gateway is told so often; a message is cheap
+	chance       = 0.6                    // ours: difference of room that is worth a factor e in choice
 	probeWait    = 4                      // ours: rounds that a query waits for its probes
 	manyLost     = 0.4                    // symptom (jam): when so many look lost, it is a jam
 	spreadGain   = 0.02                   // ours: weight of an answer in the spread of service times
@@ -205,14 +207,10 @@
 // window long; as many as half the budget (a window can touch two) has room for: heavy queries, or by chance.
 func (c *Controller) coldRoom(e *engine, k *class) bool {
 	r := &c.set.Rules
-	mine := 0.5/float64(c.set.Gateways) + 0.5*c.part
-	capacity := c.warmth(e) * coldBusy * e.cores
-	budget := r.FallMultiple * capacity * r.FallWindow.Seconds() * coldSafety
+	mine, budget := 0.5/float64(c.set.Gateways)+0.5*c.part, c.coldBudget(e)
 	if c.pool != nil {
 		n := c.set.Gateways
-		fit := max(1, math.Floor(budget/2/max(c.heaviest, 1e-3)))
-		use := c.rate * c.meanWork * r.FallWindow.Seconds() / float64(c.ready)
-		turns := int(min(float64(n), max(fit, coldChance*budget/2/use)))
+		turns, fit := c.turns(e)
 		first := e.hash + int((c.now-e.StartedAt)/r.FallWindow)*turns
 		if (c.set.Gateway+n-first%n)%n >= turns {
 			return false
@@ -228,6 +226,20 @@
 	return used <= budget
 }
 
+// coldBudget is the work that all gateways together may send a cold engine within a window.
+func (c *Controller) coldBudget(e *engine) float64 {
+	r := &c.set.Rules
+	return r.FallMultiple * c.warmth(e) * coldBusy * e.cores * r.FallWindow.Seconds() * coldSafety
+}
+
+// turns is how many gateways have their turn at a cold engine at a time, and how many heavy queries fit it.
+func (c *Controller) turns(e *engine) (turns int, fit float64) {
+	budget := c.coldBudget(e)
+	fit = max(1, math.Floor(budget/2/max(c.heaviest, 1e-3)))
+	use := c.rate * c.meanWork * c.set.Rules.FallWindow.Seconds() / float64(c.ready)
+	return int(min(float64(c.set.Gateways), max(fit, coldChance*budget/2/use))), fit
+}
+
 // pooled says whether engines share one queue and bound. Exception, where this gateway's part of an engine's
 // bound is less than one query: whole queries would sum past the engines' bound, and answers are too few to
 // judge each. All count as one large engine; a query's own is chosen when it leaves.
@@ -242,10 +254,8 @@
 // place queues a query at the eligible engine with most room under its bound, or at the pool.
 func (c *Controller) place(q *query, not *engine) {
 	q.not = not
-	// What is more work than the mean query goes to the best of a few engines whose load is asked; not
-	// what the pool refuses whatever they say: a fleet would probe for queries that it then refuses.
-	if c.set.Limits.Probing && !q.probed && c.classes[q.c].work > c.meanWork &&
-		(c.pool == nil || len(q.attempts) > 0 || !c.hopeless(q, c.pool)) {
+	// What is more work than the mean query goes to the best of a few engines whose load is asked for.
+	if c.set.Limits.Probing && !q.probed && c.classes[q.c].work > c.meanWork && c.pool == nil {
 		q.probed = true
 		asked := false
 		for n := 0; n < probes && len(c.engines) > 0; n++ {
@@ -287,7 +297,7 @@
 			if pass == 0 && e == not || c.full(e, fullFor) || !c.permit(q, e) {
 				continue
 			}
-			room := c.room(e, q) + 0.02*c.rng.Float64()
+			room := c.room(e, q) + c.luck(e)
 			if e.down && !c.doubt {
 				if c.now < e.trialAt || e.lot == e && e.threads > 0 || len(q.attempts) > 0 ||
 					c.classes[q.c].Worth > c.leastWorth { // a trial is cheap
@@ -303,6 +313,21 @@
 	return best
 }
 
+// luck is what chance adds to an engine's room. Exception, where engines are pooled: many gateways know the
+// same, and late, and all would fill the one engine that was empty. Each is drawn with a weight of
+// exp(room/chance). Those whose turn it is at a cold engine count it for all.
+func (c *Controller) luck(e *engine) float64 {
+	if c.pool == nil {
+		return 0.02 * c.rng.Float64()
+	}
+	luck := -math.Log(c.rng.ExpFloat64())
+	if c.cold(e) {
+		turns, _ := c.turns(e)
+		luck += math.Log(c.warmth(e) * float64(c.set.Gateways) / float64(turns))
+	}
+	return chance * luck
+}
+
 func (c *Controller) room(e *engine, q *query) float64 {
 	limit := e.bound * c.warmth(e)
 	room := 1 - (float64(e.threads)+e.queue.threads)/limit
@@ -412,18 +437,68 @@
 		}
 		e.queue.pop(c, q)
 		q.at = nil
-		to := e
-		if e == c.pool {
-			to = c.pick(q, q.not)
-		} else if !c.permit(q, e) || c.full(e, fullFor) {
-			to = nil
-		}
-		if to == nil {
+		switch {
+		case e != c.pool && (!c.permit(q, e) || c.full(e, fullFor)):
 			c.parked = append(c.parked, q)
+		case e != c.pool:
+			c.send(q, e)
+		case !c.ask(q):
+			c.leave(q)
+		}
+	}
+}
+
+// ask draws a few engines for a query that may leave the pool, and asks them for their load: what is known of
+// it is as old as a heavy query lasts. It says whether the query waits for that; what is no more work than
+// the mean goes at once. Guards against probes for queries that the pool then refuses.
+func (c *Controller) ask(q *query) bool {
+	k, asked := c.classes[q.c], false
+	q.drawn = nil
+	if !c.set.Limits.Probing || k.work <= c.meanWork {
+		return false
+	}
+	for range probes {
+		e := c.pick(q, q.not)
+		if e == nil || slices.Contains(q.drawn, e) {
 			continue
 		}
-		c.send(q, to)
+		q.drawn = append(q.drawn, e)
+		if c.now-max(e.askedAt, e.reportAt) >= reportAge {
+			e.askedAt, asked = c.now, true
+			c.do(Probe{e.ID})
+		}
 	}
+	if asked {
+		k.leaving++ // its threads are taken meanwhile
+		c.pool.threads += k.Threads
+		c.alarm(probeWait*c.set.Round, func() {
+			k.leaving--
+			c.pool.threads -= k.Threads
+			if !q.closed {
+				c.leave(q)
+			}
+		})
+	}
+	return asked
+}
+
+// leave sends a query that leaves the pool to the best engine drawn for it or, without any, to one drawn now.
+func (c *Controller) leave(q *query) {
+	var to *engine
+	most := math.Inf(-1)
+	for _, e := range q.drawn {
+		if room := c.room(e, q); c.permit(q, e) && !c.full(e, fullFor) && room > most {
+			to, most = e, room
+		}
+	}
+	if to == nil {
+		to = c.pick(q, q.not)
+	}
+	if to == nil {
+		c.parked = append(c.parked, q)
+		return
+	}
+	c.send(q, to)
 }
 
 // expect is the service time expected of a query on an engine, in seconds.
@@ -695,13 +770,28 @@
 			e.slow += slowFade * (c.best - e.slow)
 		}
 	}
+	c.survey()
 	c.unpark()
+	c.tell()
 	if gap := c.now - c.intervalT; gap >= interval {
 		c.intervalT = c.now
 		c.control(gap)
 	}
 }
 
+// tell tells another gateway, drawn by chance, of the engines' loads, by reports of its own and by those
+// heard of: so news reach all within seconds, at a price that does not grow with their number.
+func (c *Controller) tell() {
+	n := c.set.Gateways
+	if !c.set.Limits.Peers || c.pool == nil || n < 2 || c.now-c.toldAt < tellEvery {
+		return
+	}
+	if known := c.known(seconds(reportLasts)); len(known) > 0 {
+		c.toldAt = c.now
+		c.do(Tell{(c.set.Gateway + 1 + c.rng.IntN(n-1)) % n, known})
+	}
+}
+
 // control runs once an interval: what was seen goes to the regulators, the optimizer sets their targets.
 func (c *Controller) control(gap time.Duration) {
 	low := math.Inf(1)
--- /dev/null
+++ b/control/peers_test.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// fleetBase is a pooled deployment whose gateways probe and tell one another.
+func fleetBase() Settings {
+	s := pooledBase()
+	s.Limits.Probing, s.Limits.Peers, s.ReportFields = true, true, []string{"util"}
+	return s
+}
+
+// What is heard of an engine counts where it is younger than what is known, and for no engine that is not listed; a
+// report of a time before the engine started is of another process.
+func TestHeardReportsCountWhereTheyAreYounger(t *testing.T) {
+	started := eng("e03")
+	started.StartedAt = 99 * time.Second
+	r := pooledRig(t, fleetBase(), 10)
+	r.feed(List{Kind: Delta, Engines: []Engine{started}}, ProbeResult{Engine: "e01", Report: []float64{0.4}})
+	r.now += time.Second
+	r.feed(Heard{Reports: []LoadReport{
+		{Mark("e01"), 0.9, 1500 * ms}, {Mark("e02"), 0.9, 1500 * ms}, {Mark("e03"), 0.9, 5 * time.Second},
+		{Mark("e04"), -3, -time.Hour}, {Mark("no such"), 0.9, 0}}})
+	for id, wanted := range map[string]float64{"e01": 0.4, "e02": 0.9, "e03": 0, "e04": 0} {
+		if got := r.c.engineOf[id].report; math.Abs(got-wanted) > 1e-9 {
+			t.Errorf("%s: report %v, want %v", id, got, wanted)
+		}
+	}
+	want(t, "e04's report, in the future", r.c.engineOf["e04"].reportAt, r.now)
+	r.feed(Heard{Reports: []LoadReport{{Mark("e01"), 0.7, 100 * ms}}})
+	want(t, "a younger report", r.c.engineOf["e01"].report, 0.7)
+}
+
+// A gateway tells one other at a time, never itself, what it knows, the youngest first, and no oftener than
+// tellEvery; without leave, or alone, it tells nothing.
+func TestAGatewayTellsWhatItKnows(t *testing.T) {
+	s := fleetBase()
+	r := pooledRig(t, s, 10)
+	want(t, "tells of nothing", len(pickOf[Tell](r.run(time.Second))), 0)
+	r.feed(ProbeResult{Engine: "e01", Report: []float64{0.4}})
+	r.now += 50 * ms
+	r.feed(ProbeResult{Engine: "e02", Report: []float64{0.8}})
+	told := pickOf[Tell](r.run(2 * time.Second))
+	if len(told) < 5 || len(told) > int(2*time.Second/tellEvery) {
+		t.Fatalf("told %d times in 2 s", len(told))
+	}
+	to := map[int]bool{}
+	for _, a := range told {
+		to[a.Gateway] = true
+		if a.Gateway == s.Gateway || a.Gateway < 0 || a.Gateway >= s.Gateways {
+			t.Fatalf("told gateway %d of %d, being %d", a.Gateway, s.Gateways, s.Gateway)
+		}
+		if len(a.Reports) != 2 || a.Reports[0].Engine != Mark("e02") || a.Reports[1].Age-a.Reports[0].Age != 50*ms {
+			t.Fatalf("told %+v", a.Reports)
+		}
+	}
+	if len(to) < 3 {
+		t.Fatalf("told only gateways %v", to)
+	}
+	want(t, "tells of what is old", len(pickOf[Tell](r.run(10 * time.Second)[0:])) < int(6*time.Second/tellEvery), true)
+	s.Limits.Peers = false
+	r = pooledRig(t, s, 10)
+	r.feed(ProbeResult{Engine: "e01", Report: []float64{0.4}})
+	want(t, "tells without leave", len(pickOf[Tell](r.run(time.Second))), 0)
+}
+
+// Gateways that know the same choose different engines, the emptier the oftener: seen on a day with 80 gateways,
+// where one engine that all had heard was empty got up to 118 threads within a second, and held 86.
+func TestGatewaysThatKnowTheSameSpread(t *testing.T) {
+	sent := map[string]int{}
+	for seed := range 300 {
+		s := fleetBase()
+		s.Limits.Probing = false
+		s.Gateway = seed % s.Gateways
+		c, err := New(s, uint64(seed))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := &rig{t: t, c: c, now: 100 * time.Second, due: map[uint64]time.Duration{}}
+		var engines []Engine
+		var reports []LoadReport
+		for i := range 10 {
+			engines = append(engines, eng(fmt.Sprint("e", i)))
+			reports = append(reports, LoadReport{Mark(engines[i].ID), 0.1 + 0.15*float64(i), 0})
+		}
+		r.feed(List{Kind: Whole, Engines: engines})
+		r.feed(Heard{Reports: reports})
+		_, got := r.ask("quick")
+		got = append(got, r.run(50*ms)...)
+		for _, a := range pickOf[Send](got) {
+			sent[a.Engine]++
+		}
+	}
+	if sent["e0"] > 150 || sent["e0"] < 2*sent["e9"] || sent["e5"] == 0 {
+		t.Fatalf("sends from 300 gateways, from the emptiest engine to the fullest: %v", sent)
+	}
+}
+
+// A heavy query that may leave is sent to the emptiest of the engines asked for it, once they have answered; its
+// threads are taken meanwhile, and given back when its client goes away first.
+func TestAHeavyQueryLeavesForTheEmptiestAsked(t *testing.T) {
+	for range 3 {
+		r := pooledRig(t, fleetBase(), 60)
+		r.run(2 * interval)
+		id, got := r.ask("long")
+		asked := pickOf[Probe](got)
+		if len(asked) < 2 || len(pickOf[Send](got)) > 0 {
+			t.Fatalf("%d engines asked, %d sends", len(asked), len(pickOf[Send](got)))
+		}
+		want(t, "threads while it leaves", r.c.pool.threads, 2)
+		for i, a := range asked {
+			r.feed(ProbeResult{Engine: a.Engine, Report: []float64{0.8 - 0.2*float64(i)}})
+		}
+		sent := pickOf[Send](r.run(probeWait*5*ms + 5*ms))
+		if len(sent) != 1 || sent[0].Query != id || sent[0].Engine != asked[len(asked)-1].Engine {
+			t.Fatalf("asked %v, sent %v", asked, sent)
+		}
+		want(t, "threads once it left", r.c.pool.threads, 2)
+		gone, _ := r.ask("long")
+		r.feed(ClientGone{Query: gone})
+		r.run(time.Second)
+		want(t, "threads after a client left", r.c.pool.threads, 2)
+		want(t, "class's count", r.c.classes[1].leaving, 0)
+	}
+}
+
+// The pool's load is what its threads meet: crowded engines are no better off for others that stand empty.
+func TestThePoolsLoadIsWhatThreadsMeet(t *testing.T) {
+	r := pooledRig(t, fleetBase(), 10)
+	var reports []LoadReport
+	for i := range 10 {
+		load := 0.1
+		if i < 4 {
+			load = 1.8
+		}
+		reports = append(reports, LoadReport{r.c.engines[i].mark, load, 0})
+	}
+	r.feed(Heard{Reports: reports})
+	r.run(tick + 5*ms)
+	if got := r.c.pool.report; got < 1.6 || got > 1.8 {
+		t.Fatalf("load %.2f, want what most threads meet, about 1.67; the plain mean is 0.78", got)
+	}
+}
--- a/control/property_test.go
+++ b/control/property_test.go
@@ -18,7 +18,7 @@
 	}
 	s.Gateway = r.IntN(s.Gateways)
 	s.Limits = Limits{MaxAttempts: 1 + r.IntN(4), RetryHints: flip(), MaxRetryWait: time.Second, Cancel: flip(),
-		Copies: flip(), Probing: flip()}
+		Copies: flip(), Probing: flip(), Peers: flip()}
 	s.Grants, s.Priorities, s.CostTold, s.ListOnRequest = flip(), flip(), flip(), flip()
 	if flip() {
 		s.NotesEvery = time.Second
--- a/control/state.go
+++ b/control/state.go
@@ -22,6 +22,7 @@
 type engine struct {
 	Engine
 	hash      int     // of its ID
+	mark      uint32  // of its ID, between gateways
 	lot       *engine // holds its queue and bound: itself, or the pool
 	listed    bool
 	said      EngineState // what the list says; State is what is followed
@@ -90,7 +91,8 @@
 	at       *engine // where it is queued
 	not      *engine // where it just failed
 	line     *keyLine
-	probed   bool // engines were probed for it
+	probed   bool      // engines were probed for it
+	drawn    []*engine // where it may go, once their load is known
 	prio     int
 }
 
@@ -112,6 +114,7 @@
 	wait                  float64 // mean time held here, seconds
 	spreadMean, spreadVar float64 // of the log of service time over what was expected
 	rate                  float64
+	leaving               int // queries that leave the pool once engines have told their load
 	arrived               int
 	latency               float64 // sums over the interval
 	done                  float64
@@ -168,6 +171,7 @@
 	watching   bool
 	loggedAt   map[string]time.Duration
 	banned     map[string]bool // engines left out by hand
+	toldAt     time.Duration   // when another gateway was last told of loads
 }
 
 // queue is start-time fair queuing by class, and within a class by tenant.
@@ -228,6 +232,8 @@
 			c.note(ev)
 		case ProbeResult:
 			c.probed(ev)
+		case Heard:
+			c.heard(ev)
 		case List:
 			c.list(ev)
 		case Ban:
@@ -435,7 +441,7 @@
 	for _, b := range in.ID {
 		e.hash = (e.hash*31 + int(b)) % 1000003
 	}
-	e.lot = e
+	e.lot, e.mark = e, Mark(in.ID)
 	e.queue.init(len(c.classes), len(c.tenants))
 	e.bound = startThreads * e.cores * c.part
 	e.reg = newRegulator(1, 1, qBound, []float64{startThreads})
@@ -464,6 +470,50 @@
 	}
 }
 
+// heard takes what another gateway told of engines: what is younger than what is known counts. Guards against a
+// broker of many that sees an engine once in many seconds and sends to it by what it was then.
+func (c *Controller) heard(ev Heard) {
+	for _, r := range ev.Reports {
+		i := slices.IndexFunc(c.engines, func(e *engine) bool { return e.mark == r.Engine })
+		if i < 0 {
+			continue
+		}
+		if e, at := c.engines[i], c.now-max(0, r.Age); at > max(e.reportAt, e.StartedAt) {
+			e.report, e.reportAt = max(0, r.Load), at
+		}
+	}
+}
+
+// survey sets the pool's load to what a thread at its engines meets: the mean of their loads, each weighed by itself,
+// as engines that are crowded are no better off for others that stand empty. Seen: twelve engines of thirty overfull
+// and the rest near empty, and the mean of all loads at 0.85, which is no pressure.
+func (c *Controller) survey() {
+	if c.pool == nil || !c.set.Limits.Peers {
+		return
+	}
+	sum, squares, youngest := 0.0, 0.0, time.Duration(0)
+	for _, e := range c.engines {
+		if e.listed && e.State == Ready && e.reportAt > 0 && c.now-e.reportAt <= seconds(reportLasts) {
+			sum, squares, youngest = sum+e.report, squares+e.report*e.report, max(youngest, e.reportAt)
+		}
+	}
+	if sum > 0 {
+		c.pool.report, c.pool.reportAt = squares/sum, youngest
+	}
+}
+
+// known gives the reports of the engines that are listed and no older than a time, the youngest first.
+func (c *Controller) known(oldest time.Duration) []LoadReport {
+	var all []LoadReport
+	for _, e := range c.engines {
+		if age := c.now - e.reportAt; e.listed && e.State == Ready && e.reportAt > 0 && age <= oldest {
+			all = append(all, LoadReport{Engine: e.mark, Load: e.report, Age: age})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b LoadReport) int { return cmp.Compare(a.Age, b.Age) })
+	return all
+}
+
 // measure closes an interval: rates, this gateway's part of the traffic, and per class inverse latency and
 // throughput.
 func (c *Controller) measure(gap time.Duration) (y []float64, seen []bool, served float64) {
@@ -710,6 +760,9 @@
 			n += c.classes[class].Threads
 		}
 	}
+	if e == c.pool {
+		n += c.classes[class].leaving * c.classes[class].Threads
+	}
 	return float64(n)
 }
 
@@ -760,7 +813,7 @@
 	}
 	e.report += 0.5 * (load - e.report)
 	e.reportAt = c.now
-	if p := e.lot; p != e {
+	if p := e.lot; p != e && !c.set.Limits.Peers {
 		p.report += poolReport * (load - p.report)
 		p.reportAt = c.now
 	}
--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -95,6 +95,11 @@
 		Status control.Status
 		Report []float64
 	}
+	// Heard is what another broker told.
+	Heard struct {
+		From    int // its number
+		Reports []control.LoadReport
+	}
 	// Changes is what the change log says.
 	Changes struct{ Page changelog.Page }
 	// Stop asks the broker to finish what it has taken within a time.
@@ -112,6 +117,7 @@
 func (Page) event()          {}
 func (Ended) event()         {}
 func (Probed) event()        {}
+func (Heard) event()         {}
 func (Changes) event()       {}
 func (Stop) event()          {}
 
@@ -198,6 +204,11 @@
 		Tag          uint64
 		Engine, Addr string
 	}
+	// Tell sends another broker, by its number, a datagram of these reports.
+	Tell struct {
+		To      int
+		Reports []control.LoadReport
+	}
 	// DropUnsent ends attempts that wait for a connection to an engine that drains.
 	DropUnsent struct{ Engine string }
 	// DropEngine closes all connections to an engine that is gone, has restarted or lost its address.
@@ -215,6 +226,7 @@
 func (Forget) effect()       {}
 func (Hurry) effect()        {}
 func (Probe) effect()        {}
+func (Tell) effect()         {}
 func (DropUnsent) effect()   {}
 func (DropEngine) effect()   {}
 func (Note) effect()         {}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -213,6 +213,8 @@
 		b.ended(now, ev)
 	case Probed:
 		b.probed(now, ev)
+	case Heard:
+		b.tell(control.Heard{Gateway: ev.From, Reports: ev.Reports})
 	case Changes:
 		b.changes(ev.Page)
 	case Stop:
@@ -370,6 +372,8 @@
 		b.after(now+a.After, func(time.Duration) { b.tell(control.Timer{Token: a.Token}) })
 	case control.Probe:
 		b.probe(now, a.Engine)
+	case control.Tell:
+		b.do(Tell{To: a.Gateway, Reports: a.Reports})
 	case control.Log:
 		b.do(Note{a.Text})
 	case control.Watch: // changes come unasked
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,17 +19,19 @@
 
 // Config is what a broker is told at its start.
 type Config struct {
-	Name      string
-	Listen    string
-	Changelog string
-	Operator  string // the second address, where on-call staff call; empty: none
-	HandOver  string // the folder where one process leaves the next what it must not forget; empty: none
-	Seed      uint64
-	MemoryMB  int
-	Sockets   int
-	Known     changelog.Page
-	Settings  Settings
-	Keys      []string // the keys that the file gives, by their paths, sorted
+	Name       string
+	Listen     string
+	Changelog  string
+	PeerListen string   // where other brokers' datagrams come; empty: nothing is told or heard
+	Peers      []string // an address for every broker of the fleet, its own included, by their numbers
+	Operator   string   // the second address, where on-call staff call; empty: none
+	HandOver   string   // the folder where one process leaves the next what it must not forget; empty: none
+	Seed       uint64
+	MemoryMB   int
+	Sockets    int
+	Known      changelog.Page
+	Settings   Settings
+	Keys       []string // the keys that the file gives, by their paths, sorted
 }
 
 // Defaults of what a deployment may leave out.
@@ -68,6 +70,8 @@
 		{"name", c.Name == next.Name},
 		{"listen", c.Listen == next.Listen},
 		{"operator", c.Operator == next.Operator},
+		{"peer_listen", c.PeerListen == next.PeerListen},
+		{"peers", slices.Equal(c.Peers, next.Peers)},
 		{"limits.memory_mb", c.MemoryMB == next.MemoryMB},
 		{"limits.sockets", c.Sockets == next.Sockets},
 		{"settings", reflect.DeepEqual(c.Settings, next.Settings)},
@@ -81,12 +85,14 @@
 
 func parse(text []byte, getenv func(string) string) (Config, error) {
 	var file struct {
-		Name      string `json:"name"`
-		Listen    string `json:"listen"`
-		Seed      string `json:"seed"`
-		Changelog string `json:"changelog"`
-		Operator  string `json:"operator"`
-		Limits    struct {
+		Name       string   `json:"name"`
+		Listen     string   `json:"listen"`
+		Seed       string   `json:"seed"`
+		Changelog  string   `json:"changelog"`
+		Operator   string   `json:"operator"`
+		PeerListen string   `json:"peer_listen"`
+		Peers      []string `json:"peers"`
+		Limits     struct {
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int `json:"sockets"`
 		} `json:"limits"`
@@ -101,6 +107,7 @@
 		return Config{}, err
 	}
 	c := Config{Name: file.Name, Listen: file.Listen, Changelog: file.Changelog, Operator: file.Operator,
+		PeerListen: file.PeerListen, Peers: file.Peers,
 		MemoryMB: orElse(file.Limits.MemoryMB, defaultMemoryMB), Sockets: orElse(file.Limits.Sockets, defaultSockets)}
 	if v := getenv("RELAY_NAME"); v != "" { // the environment goes before the file
 		c.Name = v
@@ -142,9 +149,32 @@
 	if len(file.Settings) == 0 {
 		return c, errors.New("settings: missing")
 	}
-	c.Settings, err = DecodeSettings(file.Settings)
+	if c.Settings, err = DecodeSettings(file.Settings); err != nil {
+		return c, err
+	}
 	c.Keys = keys(text)
-	return c, err
+	return c, c.checkPeers()
+}
+
+// checkPeers checks the addresses between brokers. Without them, no broker is told anything and none is heard.
+func (c *Config) checkPeers() error {
+	limits := &c.Settings.Control.Limits
+	limits.Peers = limits.Peers && c.PeerListen != "" && len(c.Peers) > 0
+	if !limits.Peers {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(c.PeerListen); err != nil {
+		return fmt.Errorf("peer_listen: %w", err)
+	}
+	if n := c.Settings.Control.Gateways; len(c.Peers) != n {
+		return fmt.Errorf("peers: %d addresses for the %d brokers of settings.PeersTotal", len(c.Peers), n)
+	}
+	for i, p := range c.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			return fmt.Errorf("peers[%d]: %w", i, err)
+		}
+	}
+	return nil
 }
 
 // keys are the paths of the keys of a file down to the classes' own and the limits', so that a key that goes missing can
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -38,6 +38,32 @@
 	}
 }
 
+// Brokers tell one another only where the settings allow it and the addresses are there.
+func TestAddressesOfPeers(t *testing.T) {
+	const allowed = `"PeersTotal":2,"Limits":{"Peers":true},"RequestClasses"`
+	with := func(keys string) string {
+		text := strings.Replace(good, `"changelog"`, keys+`"changelog"`, 1)
+		return strings.Replace(text, `"RequestClasses"`, allowed, 1)
+	}
+	for keys, want := range map[string]string{
+		"": "false",
+		`"peer_listen":"127.0.0.4:7946","peers":["127.0.1.1:7946","127.0.1.2:7946"],`: "true",
+		`"peers":["127.0.1.1:7946","127.0.1.2:7946"],`:                                "false",
+		`"peer_listen":"here","peers":["127.0.1.1:7946","127.0.1.2:7946"],`:           "peer_listen:",
+		`"peer_listen":"127.0.0.4:7946","peers":["127.0.1.1:7946"],`:                  "peers: 1 addresses",
+		`"peer_listen":"127.0.0.4:7946","peers":["127.0.1.1:7946","b"],`:              "peers[1]:",
+	} {
+		cfg, err := load(t, with(keys), nil)
+		got := fmt.Sprint(cfg.Settings.Control.Limits.Peers)
+		if err != nil {
+			got = err.Error()
+		}
+		if !strings.Contains(got, want) {
+			t.Errorf("%s: got %s, want %s", keys, got, want)
+		}
+	}
+}
+
 func TestLoad(t *testing.T) {
 	c, err := load(t, good, map[string]string{"RELAY_NAME": "n4"})
 	if err != nil {
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -10,11 +10,13 @@
 
 // form is the platform's file as far as a broker reads it.
 type form struct {
-	Name      string `json:"name,omitempty" jsonschema:"name in the log"`
-	Listen    string `json:"listen" jsonschema:"address and port for clients; this address only"`
-	Seed      string `json:"seed,omitempty" limits:"pattern=^[0-9a-fA-F]{0,16}$" jsonschema:"for random numbers"`
-	Changelog string `json:"changelog" jsonschema:"address and port of the change log"`
-	Limits    struct {
+	Name       string   `json:"name,omitempty" jsonschema:"name in the log"`
+	Listen     string   `json:"listen" jsonschema:"address and port for clients; this address only"`
+	Seed       string   `json:"seed,omitempty" limits:"pattern=^[0-9a-fA-F]{0,16}$" jsonschema:"for random numbers"`
+	Changelog  string   `json:"changelog" jsonschema:"address and port of the change log"`
+	PeerListen string   `json:"peer_listen,omitempty" jsonschema:"address and port for other brokers' datagrams"`
+	Peers      []string `json:"peers,omitempty" jsonschema:"address and port of every broker of the fleet, by its number"`
+	Limits     struct {
 		MemoryMB int `json:"memory_mb,omitempty" limits:"min=32,default=192"`
 		Sockets  int `json:"sockets,omitempty" limits:"min=64,default=1024"`
 	} `json:"limits,omitzero"`
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -65,9 +65,9 @@
 	}
 	Stats  struct{ Fields []string }
 	Limits struct {
-		MaxAttempts, MaxStreams                       int           `limits:"min=0"`
-		MaxRetryAfterNs, ConnectTimeoutNs, ConnIdleNs time.Duration `limits:"min=0"`
-		RetryAfter, Cancel, ParallelTries, Probing    bool
+		MaxAttempts, MaxStreams                           int           `limits:"min=0"`
+		MaxRetryAfterNs, ConnectTimeoutNs, ConnIdleNs     time.Duration `limits:"min=0"`
+		RetryAfter, Cancel, ParallelTries, Probing, Peers bool
 	}
 	Rules struct {
 		AskEveryNs, WarmAfterNs         time.Duration
@@ -113,7 +113,7 @@
 			ReportFields: o.Stats.Fields, ListOnRequest: o.Discovery == "on_request",
 			Limits: control.Limits{MaxAttempts: o.Limits.MaxAttempts, MaxRetryWait: o.Limits.MaxRetryAfterNs,
 				RetryHints: o.Limits.RetryAfter, Cancel: o.Limits.Cancel, Copies: o.Limits.ParallelTries,
-				Probing: o.Limits.Probing},
+				Probing: o.Limits.Probing, Peers: o.Limits.Peers},
 			Rules: control.Rules{AskEvery: o.Rules.AskEveryNs,
 				ColdFrom: o.Rules.ColdFrom, WarmAfter: o.Rules.WarmAfterNs, FallMultiple: o.Rules.FallMultiple,
 				FallWindow: o.Rules.FallNs, KeyRest: o.Rules.KeyRestNs, BudgetWindow: o.Rules.BudgetSpanNs,
--- a/internal/cost/cost.go
+++ b/internal/cost/cost.go
@@ -14,13 +14,14 @@
 	Doubts  uint64 // liveness probes (there) of connections that were silent
 	Dials   uint64 // connections to engines begun
 	Polls   uint64 // calls to the change log
+	Tells   uint64 // datagrams to other brokers
 }
 
 // Names are those of the counters in the log line `costs`, in the order of the fields of Book.
-var Names = [...]string{"taken", "first", "further", "refused", "probes", "doubts", "dials", "polls"}
+var Names = [...]string{"taken", "first", "further", "refused", "probes", "doubts", "dials", "polls", "tells"}
 
 func (b *Book) counts() [len(Names)]*uint64 {
-	return [...]*uint64{&b.Taken, &b.First, &b.Further, &b.Refused, &b.Probes, &b.Doubts, &b.Dials, &b.Polls}
+	return [...]*uint64{&b.Taken, &b.First, &b.Further, &b.Refused, &b.Probes, &b.Doubts, &b.Dials, &b.Polls, &b.Tells}
 }
 
 // Less is what was counted in b since the book stood at before.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -51,6 +51,7 @@
 	nextID  broker.Session
 	slots   chan struct{} // one is taken for each client's socket
 	pool    pool
+	gossip  *gossip // nil: brokers tell one another nothing
 	sweptAt time.Time
 	stopAt  time.Time // when SIGTERM came
 	scratch []byte
@@ -85,6 +86,12 @@
 		clients: map[broker.Session]*client{}, nextID: broker.Session(cfg.Seed), slots: make(chan struct{}, slots),
 		changelog: cfg.Changelog, leave: func() {}, meter: unmeasured{}, over: make(chan struct{})}
 	n.pool = newPool(n)
+	if cfg.Settings.Control.Limits.Peers {
+		if n.gossip, err = newGossip(ctx, n); err != nil {
+			ln.Close()
+			return nil, fmt.Errorf("peer_listen: %w", err)
+		}
+	}
 	n.handed = n.takeOver()
 	return n, nil
 }
@@ -103,6 +110,9 @@
 	n.ctx = ctx
 	n.group.Go(func() error { return n.accept(ctx) })
 	n.group.Go(func() error { return n.follow(ctx, n.cfg.Known.Seq) })
+	if n.gossip != nil {
+		n.group.Go(func() error { return n.gossip.listen(ctx) })
+	}
 	n.group.Go(func() error {
 		defer cancel()
 		return n.loop(ctx, stop)
@@ -261,6 +271,9 @@
 		case broker.Probe:
 			n.costs.Probes++
 			n.pool.probe(e)
+		case broker.Tell:
+			n.costs.Tells++
+			n.gossip.tell(e)
 		case broker.DropUnsent:
 			n.pool.drains(e.Engine)
 			n.pool.dropUnsent(e.Engine)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -149,6 +149,12 @@
 }
 
 func serveMeasured(t *testing.T, m Meter, idle time.Duration, sockets int, hosts ...string) *site {
+	t.Helper()
+	return serveChanged(t, m, idle, sockets, func(*config.Config) {}, hosts...)
+}
+
+// serveChanged starts a broker on a configuration that change has had its way with.
+func serveChanged(t *testing.T, m Meter, idle time.Duration, sockets int, change func(*config.Config), hosts ...string) *site {
 	t.Helper()
 	set, err := config.DecodeSettings(fmt.Appendf(nil, settings, idle))
 	if err != nil {
@@ -170,8 +176,10 @@
 	core, logs := observer.New(zapcore.InfoLevel)
 	s.logs = logs
 	ctx, cancel := context.WithCancel(context.Background())
-	n, err := New(ctx, config.Config{Listen: "127.0.0.1:0", Changelog: changes.Listener.Addr().String(), Sockets: sockets,
-		Known: known, Settings: set}, zap.New(core))
+	cfg := config.Config{Listen: "127.0.0.1:0", Changelog: changes.Listener.Addr().String(), Sockets: sockets,
+		Known: known, Settings: set}
+	change(&cfg)
+	n, err := New(ctx, cfg, zap.New(core))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -540,7 +548,7 @@
 	}
 	delete(got, "polls")
 	if diff := cmp.Diff(map[string]uint64{"taken": 1, "first": 1, "further": 0, "refused": 0, "probes": 0, "doubts": 0,
-		"dials": 1}, got); diff != "" {
+		"dials": 1, "tells": 0}, got); diff != "" {
 		t.Fatal(diff)
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 
 	"wheatlane/control"
 	"wheatlane/internal/config"
+	"wheatlane/internal/peer"
 )
 
 // Create asks for a new instance.
@@ -218,8 +220,16 @@
 		return nil, false, control.Note{Query: f.required("Rid"), Number: int(f.integer("RoundNo", false)),
 			Engine: f.text("Executor"), Kind: control.NoteKind(f.integer("Topic", true)),
 			Value: f.number("Value")}, nil
-	case "NEIGHBOUR_SAYS": // gateways share nothing, so none of ours says anything
-		return nil, false, nil, nil
+	case "NEIGHBOUR_SAYS":
+		text, err := hex.DecodeString(f.text("Octets"))
+		if err != nil {
+			return nil, false, nil, fmt.Errorf("NEIGHBOUR_SAYS: Octets: %w", err)
+		}
+		reports, err := peer.Parse(text)
+		if err != nil { // whatever it is, no gateway of ours said it
+			return nil, false, nil, nil
+		}
+		return nil, false, control.Heard{Gateway: int(f.integer("SrcPeer", false)), Reports: reports}, nil
 	case "CHECK_RESULT":
 		return nil, false, control.ProbeResult{Engine: f.required("Executor"), Status: status(f),
 			Took: f.duration("WaitTimeNs", false), Report: f.row("Telemetry")}, nil
@@ -393,6 +403,8 @@
 		w.write("TIMER AfterNs=", strconv.FormatInt(int64(a.After), 10), " Mark=", strconv.FormatUint(a.Token, 10))
 	case control.Probe:
 		w.write("SAMPLE Executor=", a.Engine)
+	case control.Tell:
+		w.write("SHARE Dest=", strconv.Itoa(a.Gateway), " Octets=", hex.EncodeToString(peer.Append(nil, a.Reports)))
 	case control.Watch:
 		w.write("TRACK Enable=1")
 	case control.Log:
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -122,6 +122,7 @@
 		"CLOCK SimTimeNs=1\nSWITCH_TO Who=1\nINGRESS Profile=a DropDeadNs=1\n":            "Rid is missing",
 		"CLOCK SimTimeNs=1\nSHEET Sheet=0 Members=1\nGO\n":                                "expected ROW",
 		"CLOCK SimTimeNs=1\nSHEET Sheet=0 Members=1\nROW Executor=a Availability=maybe\n": "unknown Availability",
+		"CLOCK SimTimeNs=1\nSWITCH_TO Who=1\nNEIGHBOUR_SAYS SrcPeer=1 Octets=7\n":         "Octets",
 		"CLOCK SimTimeNs=1\nSWITCH_TO Who=1\nCREATE RngSeed=1 ProfileData={\n":            "settings",
 	} {
 		_, err := NewReader(strings.NewReader(text)).Read()
@@ -129,6 +130,20 @@
 			t.Errorf("%q: got %v, want %q", text, err, part)
 		}
 	}
+	for text, want := range map[string][]control.Event{ // what another program says to its own is passed over
+		"NEIGHBOUR_SAYS SrcPeer=4 Octets=77010a0b0c0d3202\n": {control.Heard{Gateway: 4,
+			Reports: []control.LoadReport{{Engine: 0x0a0b0c0d, Load: 0.5, Age: 40 * time.Millisecond}}}},
+		"NEIGHBOUR_SAYS SrcPeer=4 Octets=68692037\n": nil,
+	} {
+		b, err := NewReader(strings.NewReader("CLOCK SimTimeNs=1\nSWITCH_TO Who=1\n" + text + "GO\n")).Read()
+		var got []control.Event
+		for _, it := range b.Items {
+			got = append(got, it.Event)
+		}
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%q: got %+v, %v", text, got, err)
+		}
+	}
 	if _, err := NewReader(strings.NewReader("")).Read(); err != io.EOF {
 		t.Errorf("end of input: %v", err)
 	}
@@ -142,7 +157,8 @@
 		control.Send{Query: "q", Engine: "e:1"}, control.Refuse{Query: "q", RetryIn: 5}, control.Refuse{Query: "q"},
 		control.Fail{Query: "q"}, control.Cancel{Query: "q", Number: 2},
 		control.Terms{Query: "q", GrantMB: 640, Priority: 2}, control.SetTimer{After: 500, Token: 77},
-		control.Probe{Engine: "e:1"}, control.Watch{}, control.Log{Text: "a\nb"}} {
+		control.Probe{Engine: "e:1"}, control.Tell{Gateway: 2, Reports: []control.LoadReport{{Engine: 0x0a0b0c0d, Load: 0.5,
+			Age: 40 * time.Millisecond}}}, control.Watch{}, control.Log{Text: "a\nb"}} {
 		w.Action(a)
 	}
 	w.InternalError("it\nbroke")
@@ -159,6 +175,7 @@
 EQUIP Rid=q AllotMb=640 Priority=2
 TIMER AfterNs=500 Mark=77
 SAMPLE Executor=e:1
+SHARE Dest=2 Octets=77010a0b0c0d3202
 TRACK Enable=1
 NOTE_DOWN What=a b
 INTERNAL_ERROR What=it broke
