Short of room, refuse first what is most work for its worth

Now a query that finds no room raises a broker's price of a thread-second, which falls by a twentieth a second, and what brings less worth a thread-second than the price is refused as it comes (costly). Not where worth grows with work.

--- a/control/api.go
+++ b/control/api.go
@@ -98,6 +98,7 @@
 	Priorities    bool    // priorities are heeded
 	NotesEvery    time.Duration
 	CostTold      bool     // answers tell work and memory
+	WorthByWork   bool     // worth grows with the work of a query; else each of a class is worth the same
 	ReportFields  []string // the values of a load report, in their order
 	ListOnRequest bool     // the list of engines must be asked for
 	Limits        Limits
--- a/control/control.go
+++ b/control/control.go
@@ -81,6 +81,9 @@
 	reportLasts  = 5.0                    // ours: seconds in which a report loses most of its weight
 	reportAge    = 250 * time.Millisecond // price of probes: a younger report is as good as a new one
 	tellEvery    = 200 * time.Millisecond // ours: another gateway is told so often; a message is cheap
+	leastPrice   = 1.0 / 16               // ours: refuses no query under 16 times the mean work
+	priceRise    = 1.3                    // ours: growth of the price with each query that finds no room
+	priceFall    = 0.95                   // ours: what is left of it after an interval
 	chance       = 0.6                    // ours: difference of room that is worth a factor e in choice
 	probeWait    = 4                      // ours: rounds that a query waits for its probes
 	manyLost     = 0.4                    // symptom (jam): when so many look lost, it is a jam
@@ -282,7 +285,10 @@
 	switch {
 	case e == nil:
 		c.parked = append(c.parked, q)
+	case len(q.attempts) == 0 && c.costly(q):
+		c.giveUp(q)
 	case len(q.attempts) == 0 && c.hopeless(q, e):
+		c.short()
 		c.giveUp(q)
 	default:
 		q.at = e
@@ -410,6 +416,16 @@
 	return c.now+seconds(ahead/e.bound*math.Exp(c.slowness(e)))+c.likely(q, e) > q.aim
 }
 
+// costly says whether a query is more work than it is worth while the pool is short of room, as what it would
+// keep out is worth more. Guards against a few very heavy queries that keep out many of the same worth each.
+func (c *Controller) costly(q *query) bool {
+	k := c.classes[q.c]
+	return c.pool != nil && !c.set.WorthByWork && k.Worth < c.price*c.cheapest*q.work
+}
+
+// short raises the price, as a query was refused for lack of room that was not the least worth its work.
+func (c *Controller) short() { c.price = min(1, c.price*priceRise) }
+
 // fits says whether a class's next query may go out: without pressure, under the bound or, so that long ones
 // keep no quick ones out, while the class holds less than its share: all, if none earns more for its work.
 func (c *Controller) fits(e *engine, class int) bool {
@@ -429,6 +445,7 @@
 func (c *Controller) pump(e *engine) {
 	for q := e.queue.head(nil); q != nil; q = e.queue.head(nil) {
 		if len(q.attempts) == 0 && c.pressed(e) && c.now+c.likely(q, e) > q.aim {
+			c.short()
 			c.giveUp(q)
 			continue
 		}
@@ -821,6 +838,7 @@
 		floats.Scale(1/floats.Sum(c.shares), c.shares)
 		c.share.U = c.shares
 	}
+	c.price = max(leastPrice, c.price*priceFall)
 	k := c.tightest
 	target := max(targetFloor, 1-k.wait/k.Aim.Seconds())
 	threads, memory := c.means()
--- a/control/peers_test.go
+++ b/control/peers_test.go
@@ -145,3 +145,53 @@
 		t.Fatalf("load %.2f, want what most threads meet, about 1.67; the plain mean is 0.78", got)
 	}
 }
+
+// Short of room, the heaviest of queries of the same worth are refused first, and light ones get what they would have
+// taken; seen: with 80 gateways a fifth over what engines can do, the refused were as heavy as the served. Where worth
+// grows with work, there is no such price; and once there is room again, it is forgotten.
+func TestTheHeaviestAreRefusedFirst(t *testing.T) {
+	for _, byWork := range []bool{false, true} {
+		s := fleetBase()
+		s.WorthByWork, s.Limits.Probing = byWork, false
+		r := pooledRig(t, s, 60)
+		r.run(2 * interval)
+		weight := func(i int) time.Duration { return time.Duration(100<<(i%6)) * ms } // 0.1 to 3.2 s
+		out, refused := map[string]time.Duration{}, [6]int{}
+		works := map[string]int{}
+		take := func(got []Action) {
+			for _, a := range got {
+				switch a := a.(type) {
+				case Send:
+					out[a.Query] = r.now + weight(works[a.Query])/2
+				case Refuse:
+					refused[works[a.Query]]++
+				}
+			}
+		}
+		for i := range 1200 { // 10 s of work a second on two threads each, for a gateway with room for a tenth
+			kind := i * 5 % 6
+			id, got := r.ask("long", func(q *Query) { q.Work, q.Deadline = weight(kind), r.now+20*time.Second })
+			works[id] = kind
+			take(got)
+			take(r.run(100 * ms))
+			for id, end := range out {
+				if end <= r.now {
+					delete(out, id)
+					take(r.feed(Attempt{Query: id, Status: OK, Closed: true, Took: weight(works[id]) / 2, Work: weight(works[id])}))
+				}
+			}
+		}
+		if !byWork && refused[5] < 4*(refused[0]+1) {
+			t.Errorf("refused, from the lightest to the heaviest: %v", refused)
+		}
+		if byWork && r.c.costly(&query{work: 1e6}) {
+			t.Error("where worth grows with work, a query was too much work for its worth")
+		}
+		dear := r.c.price
+		r.run(100 * interval)
+		want(t, "price forgotten", r.c.price, leastPrice)
+		if dear <= leastPrice {
+			t.Errorf("the price never rose: %v", dear)
+		}
+	}
+}
--- a/control/state.go
+++ b/control/state.go
@@ -155,6 +155,7 @@
 	meanWork   float64 // of a query, by the rates of the classes
 	heaviest   float64 // work of the heaviest class
 	longest    float64 // usual time of the longest class of loads, in seconds
+	cheapest   float64 // worth a thread-second of the class that earns least
 	dearest    int     // the class that earns most for its work
 	widest     float64 // threads of the widest class
 	ready      int     // engines listed as ready
@@ -165,6 +166,7 @@
 	took       []time.Duration
 	evidence   float64       // answers of late, fading
 	lost       float64       // and those that never came
+	price      float64       // worth a thread-second, in parts of the cheapest class's, that a query must bring
 	part       float64       // this gateway's part of the traffic, as far as it can tell
 	measured   int           // intervals measured since the start
 	askAt      time.Duration // when the list may be asked for again
@@ -365,7 +367,7 @@
 	c := &Controller{set: set, rng: rand.New(rand.NewPCG(seed, 0x7461)), classOf: map[string]int{},
 		tenantOf: map[string]int{}, engineOf: map[string]*engine{}, queries: map[string]*query{},
 		lines: map[string]*keyLine{}, alarms: map[uint64]func(){}, token: firstToken,
-		loggedAt: map[string]time.Duration{}, banned: map[string]bool{}, part: 1 / float64(set.Gateways)}
+		loggedAt: map[string]time.Duration{}, banned: map[string]bool{}, part: 1 / float64(set.Gateways), price: leastPrice}
 	for i, k := range set.Classes {
 		k.Threads = max(1, k.Threads)
 		c.widest = max(c.widest, float64(k.Threads))
@@ -550,9 +552,9 @@
 		served += k.done
 		k.done, k.latency = 0, 0
 	}
-	c.rate, c.meanWork, c.heaviest, c.longest = rate, work/rate, 0, 0
+	c.rate, c.meanWork, c.heaviest, c.longest, c.cheapest = rate, work/rate, 0, 0, math.Inf(1)
 	for i, k := range c.classes {
-		c.heaviest = max(c.heaviest, k.work)
+		c.heaviest, c.cheapest = max(c.heaviest, k.work), min(c.cheapest, k.Worth/k.work)
 		if k.Load {
 			c.longest = max(c.longest, k.work/float64(k.Threads))
 		}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -35,6 +35,7 @@
 	RoundNs        time.Duration `limits:"min=0"`
 	MachineTypes   []string
 	Discovery      string
+	ValueBy        string `limits:"enum=|request|work"`
 	RequestClasses []struct {
 		Name                string
 		PromiseNs, GiveUpNs time.Duration `limits:"min=0"`
@@ -110,7 +111,7 @@
 		Control: control.Settings{Gateways: o.PeersTotal, Gateway: o.Position, Zone: o.Zone, Round: o.RoundNs,
 			Kinds: map[string]control.Kind{}, GrantCap: o.Domain.GrantCap, Grants: o.Domain.Grants,
 			Priorities: o.Domain.Priorities, NotesEvery: o.Domain.ProgressPaceNs, CostTold: o.Domain.SaysCost,
-			ReportFields: o.Stats.Fields, ListOnRequest: o.Discovery == "on_request",
+			ReportFields: o.Stats.Fields, ListOnRequest: o.Discovery == "on_request", WorthByWork: o.ValueBy == "work",
 			Limits: control.Limits{MaxAttempts: o.Limits.MaxAttempts, MaxRetryWait: o.Limits.MaxRetryAfterNs,
 				RetryHints: o.Limits.RetryAfter, Cancel: o.Limits.Cancel, Copies: o.Limits.ParallelTries,
 				Probing: o.Limits.Probing, Peers: o.Limits.Peers},
