--- a/control/state.go
+++ b/control/state.go
@@ -487,8 +487,8 @@
 }
 
 // survey sets the pool's load to what a thread at its engines meets: the mean of their loads, each weighed by itself,
-// as engines that are crowded are no better off for others that stand empty. Seen: twelve engines of thirty overfull
-// and the rest near empty, and the mean of all loads at 0.85, which is no pressure.
+// as engines that are crowded are no better off for others that stand empty. Seen: half of a fleet's sends made
+// without pressure, by a mean load of 0.85, while single engines held from 1 to over 80 threads.
 func (c *Controller) survey() {
 	if c.pool == nil || !c.set.Limits.Peers {
 		return
