--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -62,6 +62,7 @@
 	l := newLink(nc, 0, mostPending, 4<<10)
 	return l.run(ctx, func(ctx context.Context) error {
 		for {
+			n.polls.Add(1)
 			if _, err := l.write(changelog.Request(addr, *since, pollWait)); err != nil {
 				return err
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,12 +18,14 @@
 
 	"wheatlane/internal/broker"
 	"wheatlane/internal/config"
+	"wheatlane/internal/cost"
 )
 
 const (
 	inboxSize  = 256                    // what may wait for the reducer; more makes readers wait
 	mostAtOnce = 512                    // things taken from the inbox before a round
 	sweepEvery = time.Second            // idle connections are looked for so often
+	costsEvery = 5 * time.Second        // the log line of what the broker cost is written so often
 	stopWindow = time.Second            // requests go on coming after SIGTERM; the protocol says up to 0.4 s
 	stopCap    = 3 * time.Second        // protocol: longer deadlines count as this until SIGKILL
 	stopExtra  = 700 * time.Millisecond // protocol: and so much more
@@ -52,6 +55,10 @@
 	stopAt  time.Time // when SIGTERM came
 	scratch []byte
 	meter   Meter
+	costs   cost.Book // what was spent, on the goroutine of the reducer; Polls is in polls
+	logged  cost.Book // as it stood at the last line costs
+	costsAt time.Time
+	polls   atomic.Uint64 // calls to the change log, counted where they are made
 	ends    ends
 	over    chan struct{} // closed once nothing of Run goes on
 	handed  []string      // bans of the process before
@@ -181,7 +188,11 @@
 			n.sweptAt = time.Now()
 			n.pool.sweep()
 		}
+		if time.Since(n.costsAt) > costsEvery {
+			n.account()
+		}
 		if n.finished() {
+			n.account()
 			return nil
 		}
 		wait := heartbeat
@@ -195,6 +206,9 @@
 }
 
 func (n *Node) apply(ev broker.Event) {
+	if _, ok := ev.(broker.Submit); ok {
+		n.costs.Taken++
+	}
 	n.carryOut(n.b.Apply(now(), ev))
 	n.settle()
 }
@@ -215,6 +229,9 @@
 	for _, e := range effects {
 		switch e := e.(type) {
 		case broker.Reply:
+			if e.Kind == broker.Refused {
+				n.costs.Refused++
+			}
 			n.reply(e)
 		case broker.Admit:
 			if c := n.clients[e.Session]; c != nil {
@@ -225,6 +242,11 @@
 				c.link.finish(&ended{Reason: closings[e.Why]})
 			}
 		case broker.Want:
+			if e.Attempt.Number == 0 {
+				n.costs.First++
+			} else {
+				n.costs.Further++
+			}
 			n.pool.want(e)
 		case broker.Turn:
 			n.pool.turn(e)
@@ -235,6 +257,7 @@
 		case broker.Hurry:
 			n.pool.hurry(e)
 		case broker.Probe:
+			n.costs.Probes++
 			n.pool.probe(e)
 		case broker.DropUnsent:
 			n.pool.drains(e.Engine)
@@ -284,3 +307,21 @@
 	}
 	n.log.Info("connection ended", fields...)
 }
+
+// account writes the log line costs: what the broker spent of what a fleet shares since the line before, so that a
+// day can be counted across all brokers from their logs (docs/operators/fleet-at-size.md).
+func (n *Node) account() {
+	n.costsAt = time.Now()
+	n.costs.Polls = n.polls.Load()
+	spent := n.costs.Less(n.logged)
+	n.logged = n.costs
+	if spent == (cost.Book{}) {
+		return
+	}
+	fields := make([]zap.Field, 0, len(cost.Names))
+	for _, name := range cost.Names {
+		count, _ := spent.Count(name)
+		fields = append(fields, zap.Uint64(name, count))
+	}
+	n.log.Info("costs", fields...)
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -517,6 +517,34 @@
 	s.done <- err // for the clean-up
 }
 
+// What a broker spent of what its fleet shares is in its log, whenever it ends: one request, its attempt, the one
+// connection it took, and the calls to the change log, which differ from run to run and are only there.
+func TestTheLogSaysWhatWasSpent(t *testing.T) {
+	e := newEngine(t)
+	s := serve(t, host("e1", e.addr, "in_service", 0))
+	a := s.dial(query("lookup", 1, long, ""))
+	w := e.next(t, "want")
+	w.reply(w.id(), "OK", "-", "")
+	a.want("rows ")
+	close(s.stop)
+	err := next(t, s.done, "the broker's end")
+	s.done <- err // for the clean-up
+	got := map[string]uint64{}
+	for _, line := range s.logs.FilterMessage("costs").All() {
+		for name, v := range line.ContextMap() {
+			got[name] += v.(uint64)
+		}
+	}
+	if got["polls"] == 0 {
+		t.Fatal("no call to the change log was counted")
+	}
+	delete(got, "polls")
+	if diff := cmp.Diff(map[string]uint64{"taken": 1, "first": 1, "further": 0, "refused": 0, "probes": 0, "doubts": 0,
+		"dials": 1}, got); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
 // What can't be read costs its own connection, with an answer and one log line; the rest is served on.
 func TestBadInput(t *testing.T) {
 	e := newEngine(t)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -152,6 +152,7 @@
 func (p *pool) dial(engine, addr string) *upstream {
 	n := p.n
 	ctx, cancel := context.WithCancel(n.ctx)
+	p.n.costs.Dials++
 	c := &upstream{engine: engine, addr: addr, cancel: cancel, streams: map[string]*stream{}, spent: map[string]time.Time{}}
 	p.conns[engine] = append(p.conns[engine], c)
 	p.count++
@@ -281,8 +282,7 @@
 	}
 	// What is given up for its age on a connection silent for long may have been lost with its engine's machine.
 	if now := time.Now(); c.doubtAt.IsZero() && now.Sub(c.heard) > silentFor && now.Sub(s.at) > silentFor {
-		c.doubtAt = now
-		p.say(c, "there", doubtMark)
+		p.doubt(c, now)
 	}
 	c.link.then(func() {
 		p.n.post(p.n.ctx, func() {
@@ -317,8 +317,7 @@
 			case trust:
 				c.doubtAt = time.Time{}
 			case doubt:
-				c.doubtAt = now
-				p.say(c, "there", doubtMark)
+				p.doubt(c, now)
 			case retire:
 				p.close(c, Retired)
 			}
@@ -326,6 +325,13 @@
 	}
 }
 
+// doubt asks a connection whether it is alive; it takes nothing new until a word comes.
+func (p *pool) doubt(c *upstream, now time.Time) {
+	c.doubtAt = now
+	p.n.costs.Doubts++
+	p.say(c, "there", doubtMark)
+}
+
 // verdict is what a look at a connection that is up decides.
 type verdict int
 
