--- a/control/api.go
+++ b/control/api.go
@@ -97,10 +97,11 @@
 	Grants        bool    // memory grants are heeded
 	Priorities    bool    // priorities are heeded
 	NotesEvery    time.Duration
-	CostTold      bool     // answers tell work and memory
-	WorthByWork   bool     // worth grows with the work of a query; else each of a class is worth the same
-	ReportFields  []string // the values of a load report, in their order
-	ListOnRequest bool     // the list of engines must be asked for
+	CostTold      bool          // answers tell work and memory
+	WorthByWork   bool          // worth grows with the work of a query; else each of a class is worth the same
+	ReportFields  []string      // the values of a load report, in their order
+	SendLate      time.Duration // an attempt may leave so long after it is sent from here; 0 where it leaves at once
+	ListOnRequest bool          // the list of engines must be asked for
 	Limits        Limits
 	Rules         Rules
 }
--- a/control/control.go
+++ b/control/control.go
@@ -166,7 +166,7 @@
 		}
 		same := k.Scope == ScopeAll || k.Scope == ScopeZone && e.Zone == a.e.Zone ||
 			k.Scope == ScopeCell && e.Cell == a.e.Cell
-		if k.Effect == Once || !same || c.now-a.sent >= k.Window-c.set.Round {
+		if !same || c.barred(k, a) {
 			return false
 		}
 	}
@@ -192,6 +192,18 @@
 	return true
 }
 
+// barred says whether an attempt that may have run allows no other one of its class, at whichever engine.
+func (c *Controller) barred(k *class, a *attempt) bool {
+	window := k.Window - c.set.Round - c.set.SendLate
+	return a.ran && (k.Effect == Once || k.Effect == Keyed && c.now-a.sent >= window)
+}
+
+// spent says whether a query can have no further attempt, whatever becomes of the engines.
+func (c *Controller) spent(q *query) bool {
+	bars := func(a *attempt) bool { return c.barred(c.classes[q.c], a) }
+	return len(q.attempts) >= c.set.Limits.MaxAttempts || slices.ContainsFunc(q.attempts, bars)
+}
+
 // cold says whether an engine started lately; a second is added for what the list's clock may be off.
 func (c *Controller) cold(e *engine) bool {
 	return e.StartedAt > 0 && c.now-e.StartedAt < c.set.Rules.WarmAfter+time.Second
@@ -257,6 +269,10 @@
 // place queues a query at the eligible engine with most room under its bound, or at the pool.
 func (c *Controller) place(q *query, not *engine) {
 	q.not = not
+	if len(q.attempts) > 0 && !q.busy() && c.spent(q) { // what nothing can help gets its answer now
+		c.giveUp(q)
+		return
+	}
 	// What is more work than the mean query goes to the best of a few engines whose load is asked for.
 	if c.set.Limits.Probing && !q.probed && c.classes[q.c].work > c.meanWork && c.pool == nil {
 		q.probed = true
@@ -620,7 +636,7 @@
 
 // again tries a failed query elsewhere while there is time, unless its work may go on and that adds to a jam.
 func (c *Controller) again(q *query, a *attempt, s Status) {
-	if q.Deadline-c.now < 4*c.set.Round || len(q.attempts) >= c.set.Limits.MaxAttempts ||
+	if q.Deadline-c.now < 4*c.set.Round ||
 		s == TimedOut && !c.set.Limits.Cancel && !a.e.down && c.pressed(a.e) ||
 		c.classes[q.c].LateWorth == 0 && c.now > q.aim {
 		c.giveUp(q)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -146,8 +146,9 @@
 	s.Classes[0].Effect = Once
 	r := newRig(t, s, eng("e1"), eng("e2"))
 	id, _ := r.ask("quick")
-	r.end(id, 0, Failed)
-	got := r.run(4 * time.Second)
+	got := r.end(id, 0, Failed)
+	want(t, "failures at once", len(pickOf[Fail](got)), 1)
+	got = append(got, r.run(4*time.Second)...)
 	want(t, "repeats", len(pickOf[Send](got)), 0)
 	want(t, "refusals", len(pickOf[Refuse](got)), 0)
 	want(t, "failures", len(pickOf[Fail](got)), 1)
@@ -177,6 +178,66 @@
 	}
 }
 
+// What the rules allow no further attempt of is answered at once, not held until its deadline.
+func TestWhatNothingCanHelpIsAnsweredAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		class        func(k *Class)
+		after        time.Duration // from the first attempt to its end
+		status       Status
+		fail, refuse int
+	}{
+		"unsafe, reset":              {func(k *Class) { k.Effect = Once }, 0, Reset, 1, 0},
+		"unsafe, timed out":          {func(k *Class) { k.Effect = Once }, 0, TimedOut, 1, 0},
+		"keyed, past its window":     {func(k *Class) { k.Effect, k.Window = Keyed, time.Second }, 1100 * ms, Failed, 0, 1},
+		"keyed for a zone, past it":  {func(k *Class) { k.Effect, k.Scope, k.Window = Keyed, ScopeZone, time.Second }, 1100 * ms, Failed, 1, 0},
+		"keyed, and too late to try": {func(k *Class) { k.Effect, k.Window = Keyed, time.Second }, 750 * ms, Failed, 0, 1},
+	} {
+		s := base()
+		s.SendLate = 300 * ms // so a second attempt after 750 ms might leave past the window
+		s.Classes[1].Effect = Repeatable
+		c.class(&s.Classes[1])
+		r := newRig(t, s, eng("e1"), eng("e2"))
+		id, _ := r.ask("long", func(q *Query) { q.Deadline = r.now + 20*time.Second })
+		r.run(c.after)
+		got := r.end(id, 0, c.status)
+		want(t, name+": failures", len(pickOf[Fail](got)), c.fail)
+		want(t, name+": refusals", len(pickOf[Refuse](got)), c.refuse)
+		want(t, name+": repeats", len(pickOf[Send](append(got, r.run(time.Second)...))), 0)
+	}
+}
+
+// A ration of attempts that a reload lowers ends what has used it up and waits for another attempt.
+func TestALoweredRationEndsWhatWaits(t *testing.T) {
+	s := base()
+	r := newRig(t, s, eng("e1"))
+	id, _ := r.ask("long", func(q *Query) { q.Deadline = r.now + 20*time.Second })
+	gone := eng("e1")
+	gone.State = Draining
+	r.feed(List{Kind: Delta, Engines: []Engine{gone}})
+	got := append(r.end(id, 0, Failed), r.run(300*ms)...)
+	want(t, "answers while there may be another engine", len(pickOf[Refuse](got))+len(pickOf[Fail](got)), 0)
+	s.Limits.MaxAttempts = 1
+	r.c.Retune(s.Classes, s.Limits)
+	want(t, "refusals", len(pickOf[Refuse](r.run(300*ms))), 1)
+}
+
+// The ration of further attempts counts each for as long as it may have left late, and no query longer than an attempt
+// that leaves late may count it.
+func TestTheRationAllowsForAttemptsThatLeaveLate(t *testing.T) {
+	for late, wanted := range map[time.Duration][2]int{0: {1, 2}, 300 * ms: {2, 1}} {
+		s := base()
+		s.Rules.BudgetWindow, s.SendLate = 10*time.Second, late
+		r := newRig(t, s, eng("e1"))
+		r.c.now = r.now
+		past := r.now - 10*time.Second
+		r.c.further = []time.Duration{past - 100*ms, past + time.Second}
+		r.c.took = []time.Duration{past + 100*ms, past + time.Second}
+		r.c.trim()
+		want(t, "further attempts", len(r.c.further), wanted[0])
+		want(t, "queries", len(r.c.took), wanted[1])
+	}
+}
+
 func TestNothingNewGoesToAnEngineThatDrainsOrIsGone(t *testing.T) {
 	for _, state := range []EngineState{Draining, Gone} {
 		r := newRig(t, base(), eng("e1"), eng("e2"))
--- a/control/state.go
+++ b/control/state.go
@@ -780,11 +780,11 @@
 }
 
 // trim forgets queries taken and further attempts made that the budget's window has passed; the queries a
-// round early, to be on the safe side.
+// round early, to be on the safe side, and both by what an attempt may leave late.
 func (c *Controller) trim() {
-	from := c.now - c.set.Rules.BudgetWindow
-	c.further = slices.DeleteFunc(c.further, func(t time.Duration) bool { return t < from })
-	c.took = slices.DeleteFunc(c.took, func(t time.Duration) bool { return t < from+c.set.Round })
+	from, late := c.now-c.set.Rules.BudgetWindow, c.set.SendLate
+	c.further = slices.DeleteFunc(c.further, func(t time.Duration) bool { return t < from-late })
+	c.took = slices.DeleteFunc(c.took, func(t time.Duration) bool { return t < from+c.set.Round+late })
 }
 
 // left learns how long clients stay that leave before their time, and how many do.
--- a/internal/broker/crossing_test.go
+++ b/internal/broker/crossing_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wheatlane/control"
+	"wheatlane/internal/changelog"
 )
 
 // A query and the word that kills it come on two connections, and may be read in the other order. What was asked
@@ -137,3 +138,54 @@
 		})
 	}
 }
+
+// A client that leaves in the round in which its request comes has nothing sent on.
+func TestAClientThatLeavesInTheRoundOfItsRequest(t *testing.T) {
+	for name, leave := range map[string]Event{"closed": SessionClosed{1}, "killed": Kill{By: 2, Target: 1}} {
+		r := newRig(t, host("e1", "127.0.0.1:1", control.Ready))
+		r.now += settings().Round
+		r.b.Apply(r.now, Submit{1, Request{Ref: "a", Class: "lookup", Sent: r.now, Allow: time.Second}})
+		r.apply(leave)
+		r.run(time.Second)
+		if len(of[Want](r.got)) > 0 || r.b.Open() != 0 || len(r.b.requests) != 0 {
+			t.Fatalf("%s: it was sent on, or is kept", name)
+		}
+	}
+}
+
+// A page of the change log may tell of one engine that it drains, is gone and is back, and of another that takes over
+// its address: each is followed in its order, and what is sent goes where the last of them says.
+func TestMuchOfOneEngineInOnePage(t *testing.T) {
+	at := func(seq int64, hosts ...changelog.Host) changelog.Change {
+		return changelog.Change{Seq: seq, Hosts: hosts}
+	}
+	back := host("e1", "127.0.0.1:1", control.Ready)
+	back.StartedAt = start - time.Hour
+	for name, c := range map[string]struct {
+		changes []changelog.Change
+		to      string // where a request goes; empty: nowhere
+		drops   int
+	}{
+		"drain, gone and back": {[]changelog.Change{at(2, host("e1", "127.0.0.1:1", control.Draining)),
+			at(3, host("e1", "", control.Gone)), at(4, back)}, "e1", 1},
+		"back, then drain":   {[]changelog.Change{at(2, host("e1", "", control.Gone)), at(3, back), at(4, host("e1", "127.0.0.1:1", control.Draining))}, "", 1},
+		"address taken over": {[]changelog.Change{at(2, host("e1", "127.0.0.1:1", control.Draining)), at(3, host("e2", "127.0.0.1:1", control.Ready))}, "e2", 1},
+		"taken over and back elsewhere": {[]changelog.Change{at(2, host("e2", "127.0.0.1:1", control.Ready)),
+			at(3, host("e2", "127.0.0.1:1", control.Draining)), at(4, host("e1", "127.0.0.1:3", control.Ready))}, "e1", 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, host("e1", "127.0.0.1:1", control.Ready))
+			r.apply(Changes{changelog.Page{Seq: 4, Changes: c.changes}})
+			r.run(10 * ms)
+			r.submit(1, "lookup", "", time.Second)
+			r.run(10 * ms)
+			to := ""
+			for _, w := range of[Want](r.got) {
+				to = w.Engine
+			}
+			if to != c.to || len(of[DropEngine](r.got)) != c.drops {
+				t.Fatalf("sent to %q after %d drops, want %q after %d", to, len(of[DropEngine](r.got)), c.to, c.drops)
+			}
+		})
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 )
 
 // File is the name of the file in its folder.
@@ -91,7 +92,8 @@
 
 // Read reads the state in a folder for a broker of a name: ErrNone without a file.
 func Read(dir, broker string) (State, error) {
-	f, err := os.Open(filepath.Join(dir, File))
+	// Guards against a start that never ends: a named pipe under this name would be waited for.
+	f, err := os.OpenFile(filepath.Join(dir, File), os.O_RDONLY|syscall.O_NONBLOCK, 0)
 	if errors.Is(err, os.ErrNotExist) {
 		return State{}, ErrNone
 	}
@@ -99,6 +101,9 @@
 		return State{}, fmt.Errorf("handover: %w", err)
 	}
 	defer f.Close()
+	if info, err := f.Stat(); err != nil || !info.Mode().IsRegular() {
+		return State{}, fmt.Errorf("%w: not a file", ErrTorn)
+	}
 	text := make([]byte, mostBytes+1)
 	n, err := f.ReadAt(text, 0)
 	if n > mostBytes {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -6,7 +6,9 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -90,3 +92,29 @@
 	sum := crc32.Checksum([]byte(body), crc32.MakeTable(crc32.Castagnoli))
 	return []byte(strconv.FormatUint(uint64(sum), 16) + "\n" + body)
 }
+
+// What is under the name and is no file keeps no broker from starting.
+func TestWhatIsNoFile(t *testing.T) {
+	for name, put := range map[string]func(path string) error{
+		"a named pipe": func(path string) error { return syscall.Mkfifo(path, 0o600) },
+		"a folder":     func(path string) error { return os.Mkdir(path, 0o700) },
+	} {
+		path := filepath.Join(t.TempDir(), File)
+		if err := put(path); err != nil {
+			t.Fatal(err)
+		}
+		got := make(chan error, 1)
+		go func() {
+			_, err := Read(filepath.Dir(path), "n3")
+			got <- err
+		}()
+		select {
+		case err := <-got:
+			if !errors.Is(err, ErrTorn) {
+				t.Errorf("%s: got %v", name, err)
+			}
+		case <-time.After(20 * time.Second):
+			t.Errorf("%s is waited for", name)
+		}
+	}
+}
--- a/internal/node/changes.go
+++ b/internal/node/changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -67,8 +68,10 @@
 		return &ended{ConnectFailed, err}
 	}
 	l := newLink(nc, 0, mostPending, 4<<10)
+	early := pauses()
 	return l.run(ctx, func(ctx context.Context) error {
 		for {
+			asked := time.Now()
 			n.polls.Add(1)
 			if _, err := l.write(changelog.Request(addr, *since, pollWait)); err != nil {
 				return err
@@ -100,9 +103,24 @@
 				}
 			}
 			page, err := changelog.ParsePage(r.Body)
+			if err == nil && page.Seq < *since {
+				// The picture that is known stays: numbers that go back are none that the protocol gives.
+				err = fmt.Errorf("the log is at %d, after %d", page.Seq, *since)
+			}
 			if err != nil {
 				return &ended{Malformed, err}
 			}
+			if page.Seq == *since && time.Since(asked) < pollWait/2 {
+				// Guards against a log that answers at once though it has nothing new: asked again on and on, it would
+				// take the broker's core and its own.
+				select {
+				case <-ctx.Done():
+					return ctx.Err()
+				case <-time.After(early.NextBackOff()):
+				}
+			} else {
+				early.Reset()
+			}
 			// Guards against a page that is let go, as the poll ends while the reducer is behind, and never asked for
 			// again.
 			if page.Seq > *since && n.post(ctx, func() { n.apply(broker.Changes{Page: page}) }) {
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"wheatlane/control"
 	"wheatlane/internal/broker"
 	"wheatlane/internal/config"
@@ -357,3 +359,39 @@
 		t.Fatalf("the log says %v", line)
 	}
 }
+
+// A change log whose numbers go back tells nothing that can be used: its connection ends with a code, the picture that
+// is known stays, and it is asked again.
+func TestAChangeLogThatGoesBack(t *testing.T) {
+	e := newEngine(t)
+	s := serve(t, host("e1", e.addr, "in_service", 0))
+	s.change(page(41, false, host("e2", "127.0.0.1:1", "terminating", 0)), 41)
+	s.log.pages <- page(3, true, host("e9", "127.0.0.1:1", "in_service", 0))
+	until(t, "the connection has ended as one that can't be read", func() bool {
+		return s.logs.FilterField(zap.String("reason", string(Malformed))).Len() > 0
+	})
+	s.change(page(42, false, host("e2", "127.0.0.1:1", "terminated", 0)), 42)
+	if got := look(s, func(n *Node) int { return n.b.Size() }); got != 1 {
+		t.Fatalf("%d engines are known, want e1 alone", got)
+	}
+	c := s.dial(query("lookup", 1, long, ""))
+	w := e.next(t, "want")
+	w.reply(w.id(), "OK", "-", "")
+	c.want("rows ")
+}
+
+// A change log that answers at once though it has nothing new is asked again after pauses that grow, not on and on.
+func TestAChangeLogThatNeverWaits(t *testing.T) {
+	s := serve(t)
+	next(t, s.log.polls, "a poll")
+	began := time.Now()
+	least := time.Duration(0)
+	for i := range 4 {
+		s.log.pages <- `{"seq":1,"results":[]}`
+		next(t, s.log.polls, "another poll")
+		least += time.Duration((1 - pauseSpread) * float64(firstPause<<i))
+	}
+	if took := time.Since(began); took < least {
+		t.Fatalf("four empty answers took %v, and the pauses are at least %v", took, least)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,7 +77,10 @@
 // New returns a broker that listens already, so that no client is turned away while it starts.
 func New(ctx context.Context, cfg config.Config, log *zap.Logger) (*Node, error) {
 	slots := cfg.Sockets - cfg.Sockets/engineShare - ownSockets
-	b, err := broker.New(cfg.Settings.Control, cfg.Seed, slots-slots/closingShare)
+	set := cfg.Settings.Control
+	// An attempt may wait for its connection, and then behind other bytes.
+	set.SendLate = cfg.Settings.ConnectTimeout + leaveWithin(cfg.Settings.DrainGrace)
+	b, err := broker.New(set, cfg.Seed, slots-slots/closingShare)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
