--- a/cmd/wheatlane/main_test.go
+++ b/cmd/wheatlane/main_test.go
@@ -89,6 +89,71 @@
 	}
 }
 
+// A second SIGTERM and a SIGHUP while the program ends change nothing: what it took is answered, and it ends with 0.
+func TestSignalsWhileItEnds(t *testing.T) {
+	cmd := program(t, some)
+	logs, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(logs)
+	_, rest, _ := strings.Cut(line(t, lines, `"listen":"`), `"listen":"`)
+	addr, _, _ := strings.Cut(rest, `"`)
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	packet := func(seq byte, payload string) string { return string([]byte{byte(len(payload)), 0, 0, seq}) + payload }
+	// There is no engine, so the request waits; a ping ahead of it says when it was read.
+	const ask = "/* service=a,ref=00000000000000a1,allow=1000 */ SELECT a FROM s_1.t"
+	if _, err := io.WriteString(nc, packet(1, "\x08\x82\x00\x00"+strings.Repeat("\x00", 28)+"app\x00\x00main\x00")+
+		packet(0, "\x0e")+packet(0, "\x03"+ask)); err != nil {
+		t.Fatal(err)
+	}
+	all := bufio.NewReader(nc)
+	next := func() string {
+		nc.SetReadDeadline(time.Now().Add(patience))
+		head := make([]byte, 4)
+		if _, err := io.ReadFull(all, head); err != nil {
+			t.Fatal(err)
+		}
+		payload := make([]byte, int(head[0])|int(head[1])<<8)
+		if _, err := io.ReadFull(all, payload); err != nil {
+			t.Fatal(err)
+		}
+		return string(payload)
+	}
+	next()                         // the greeting
+	next()                         // the login's OK
+	if p := next(); p[0] != 0xff { // not ready, as there is no engine
+		t.Fatalf("the ping's answer is %q", p)
+	}
+	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		if err := cmd.Process.Signal(sig); err != nil {
+			t.Fatal(err)
+		}
+		if sig == syscall.SIGTERM {
+			continue
+		}
+		line(t, lines, "stopping")
+	}
+	if p := next(); p[0] != 0xff || int(p[1])|int(p[2])<<8 != 1226 {
+		t.Fatalf("the request's answer is %q", p)
+	}
+	if _, err := all.ReadByte(); err != io.EOF {
+		t.Fatalf("the connection ended with %v", err)
+	}
+	for lines.Scan() { // to the end of the log
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // line reads the log up to a line that holds a text.
 func line(t *testing.T, logs *bufio.Scanner, text string) string {
 	t.Helper()
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -505,3 +506,42 @@
 		})
 	}
 }
+
+// A watch that is silent from its start, and whose renewal is silent as well, costs no more than their times: the third
+// call is made from the same number, and what it tells is taken.
+func TestASilentWatchAndItsSilentRenewal(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	asked := make(chan string, 100)
+	go func() {
+		for i := 0; ; i++ {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { nc.Close() })
+			line, _ := bufio.NewReader(nc).ReadString('\n')
+			asked <- line
+			if i == 2 {
+				text := page(2, false, host("e1", "127.0.0.1:1", "terminating", 0))
+				fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+			}
+		}
+	}()
+	s := serveChanged(t, unmeasured{}, 30*time.Second, 1024, func(c *config.Config) { c.Changelog = ln.Addr().String() },
+		host("e1", "127.0.0.1:1", "in_service", 0))
+	began := time.Now()
+	for range 3 {
+		if line := next(t, asked, "a call"); line != "GET /changes?since=1&timeout=1000 HTTP/1.1\r\n" {
+			t.Fatalf("asked %q", line)
+		}
+	}
+	// The protocol counts what a silent log would have told as told 2 s after the end of the wait that was asked for.
+	if took, most := time.Since(began), 2*(pollWait+2*time.Second); took > most {
+		t.Fatalf("asked again after %v, and what was to be told counted as told after %v", took, most)
+	}
+	until(t, "the drain is known", func() bool { return !look(s, func(n *Node) bool { return n.b.Ready() }) })
+}
