Close no silent connection with attempts out where second copies are forbidden

Tried first: where probes are forbidden, two answers overdue with no word between tell a silent connection, which is then closed. An engine that is cut off does not hear of the close and goes on, so the next attempt is a second one. Left out again.

The same close, after an unanswered question, was still there for deployments that allow probes and forbid second copies (pool.judge): it now stays off there, and a doubted connection ends with the last that is out on it (TestNoSecondCopyByClosingACutConnection, seen to fail without it).

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -545,3 +545,28 @@
 	}
 	until(t, "the drain is known", func() bool { return !look(s, func(n *Node) bool { return n.b.Ready() }) })
 }
+
+// A connection that was asked and says nothing is closed with attempts out on it only where second copies are allowed: an
+// engine that is cut off does not hear of the close and goes on.
+func TestNoSecondCopyByClosingACutConnection(t *testing.T) {
+	for _, c := range []struct{ probes, copies, closed bool }{
+		{true, true, true}, {true, false, false}, {false, true, false}, {false, false, false},
+	} {
+		n, l, _ := quiet(t)
+		limits := &n.cfg.Settings.Control.Limits
+		limits.Probing, limits.Copies = c.probes, c.copies
+		a := broker.Attempt{Request: 1}
+		n.pool.want(broker.Want{Attempt: a, Engine: "e1", Addr: "a", Ref: "1", Class: "lookup", Patience: time.Minute, Priority: 1})
+		l.mark(int(l.put)) // all of it has left
+		up := n.pool.conns["e1"][0]
+		up.heard, up.doubtAt = time.Now().Add(-time.Minute), time.Now().Add(-2*doubtFor)
+		n.pool.judge()
+		if up.gone != c.closed || (len(n.backlog) > 0) != c.closed {
+			t.Errorf("%+v: closed %v, told %v", c, up.gone, n.backlog)
+		}
+		n.pool.withdraw(a) // it has left, so it stays out
+		if over := len(n.pool.out) == 0; over != c.closed {
+			t.Errorf("%+v: the attempt is over: %v", c, over)
+		}
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -263,7 +263,7 @@
 // remove takes a stream off its connection.
 func (p *pool) remove(s *stream) {
 	delete(s.c.streams, s.id)
-	if c := s.c; len(c.streams) == 0 && (c.retired || !c.doubtAt.IsZero() && !p.mayAsk()) {
+	if c := s.c; len(c.streams) == 0 && (c.retired || !c.doubtAt.IsZero() && !p.mayEnd()) {
 		p.close(c, Retired)
 	}
 }
@@ -351,7 +351,7 @@
 			case doubt:
 				p.doubt(c, now)
 			case retire:
-				if p.mayAsk() {
+				if p.mayEnd() {
 					p.close(c, Retired)
 				}
 			}
@@ -360,7 +360,8 @@
 }
 
 // doubt asks a connection whether it is alive; it takes nothing new until a word comes. The question is a probe by the
-// protocol: a deployment that forbids probes has the connection stay until what is out on it has ended.
+// protocol: where it is forbidden, or a second copy of an attempt is, the connection stays until what is out on it
+// has ended.
 func (p *pool) doubt(c *upstream, now time.Time) {
 	c.doubtAt = now
 	if p.mayAsk() {
@@ -372,6 +373,11 @@
 // mayAsk tells whether an engine may be asked whether it is alive.
 func (p *pool) mayAsk() bool { return p.n.cfg.Settings.Control.Limits.Probing }
 
+// mayEnd tells whether a connection may be closed for its silence with attempts out on it. An engine that was cut off
+// does not hear of the close and goes on: another attempt would be a second copy, so the deployment must allow those.
+// (Seen: closing where it does not broke the rule on duplicates on one of 22 split+brink days of hobart-main.)
+func (p *pool) mayEnd() bool { return p.mayAsk() && p.n.cfg.Settings.Control.Limits.Copies }
+
 // verdict is what a look at a connection that is up decides.
 type verdict int
 
