--- a/cmd/wheatlane/main_test.go
+++ b/cmd/wheatlane/main_test.go
@@ -57,8 +57,9 @@
 	}
 }
 
-// It listens by the time it says so, greets a client, and ends with 0 after SIGTERM.
-func TestServesAndEndsWell(t *testing.T) {
+// started is a run of the program, its log from where it says that it serves, and a client's connection to it.
+func started(t *testing.T) (*exec.Cmd, *bufio.Scanner, net.Conn) {
+	t.Helper()
 	cmd := program(t, some)
 	logs, err := cmd.StderrPipe()
 	if err != nil {
@@ -74,7 +75,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer nc.Close()
+	t.Cleanup(func() { nc.Close() })
+	return cmd, lines, nc
+}
+
+// It listens by the time it says so, greets a client, and ends with 0 after SIGTERM.
+func TestServesAndEndsWell(t *testing.T) {
+	cmd, lines, nc := started(t)
 	head := make([]byte, 5)
 	if _, err := nc.Read(head); err != nil || head[4] != 10 {
 		t.Fatalf("greeting %v, %v", head, err)
@@ -91,22 +98,7 @@
 
 // A second SIGTERM and a SIGHUP while the program ends change nothing: what it took is answered, and it ends with 0.
 func TestSignalsWhileItEnds(t *testing.T) {
-	cmd := program(t, some)
-	logs, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	lines := bufio.NewScanner(logs)
-	_, rest, _ := strings.Cut(line(t, lines, `"listen":"`), `"listen":"`)
-	addr, _, _ := strings.Cut(rest, `"`)
-	nc, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer nc.Close()
+	cmd, lines, nc := started(t)
 	packet := func(seq byte, payload string) string { return string([]byte{byte(len(payload)), 0, 0, seq}) + payload }
 	// There is no engine, so the request waits; a ping ahead of it says when it was read.
 	const ask = "/* service=a,ref=00000000000000a1,allow=1000 */ SELECT a FROM s_1.t"
