Send nothing on that is read after the shutdown of its connection

Seen: on a planned restart the broker ends what it writes to resting clients and goes on reading for up to 200 ms. What a client asked in that moment was read by its reader (node.client.read), handed to the reducer, whose session was still there, and sent on to an engine; its answer could not leave any more (link.drain had ended in partWith), and the process waited for it. Ruled out: the other ends from our side (Killed, MadeRoom, NoRoom) end the session in the reducer first. At fault: node.finished, which parted with connections without a word to the reducer.

Now the reducer is told (broker.Parting) ahead of that: what is asked from then on is refused, and the refusal still leaves where the connection has not been shut. The same fault in a small place: a client that does not read, whose buffer is full, kept its session, so that more of it was sent on without a way back (node.reply).

Found by reading: SIGHUP wrote the longest deadline on the reducer's goroutine while clients' readers read it. It is atomic now, and an open connection's idle time follows a reload.

--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -105,6 +105,9 @@
 	Changes struct{ Page changelog.Page }
 	// Stop asks the broker to finish what it has taken within a time.
 	Stop struct{ Within time.Duration }
+	// Parting says that all sessions are being parted with: whatever is still open is answered now, and what is asked
+	// from then on is refused and never sent on.
+	Parting struct{}
 )
 
 func (Connected) event()     {}
@@ -121,6 +124,7 @@
 func (Heard) event()         {}
 func (Changes) event()       {}
 func (Stop) event()          {}
+func (Parting) event()       {}
 
 // Effect is one thing to do; see the types below.
 type Effect interface{ effect() }
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -222,7 +222,10 @@
 	case Changes:
 		b.changes(ev.Page)
 	case Stop:
-		b.stop(now, ev.Within)
+		b.stopped = true
+		b.after(now+ev.Within, b.lastWords)
+	case Parting:
+		b.lastWords(now)
 	case SetDown:
 		b.ban(ev.Engine, true)
 	case SetUp:
@@ -680,24 +683,16 @@
 	return ids
 }
 
-// stop answers, shortly before the broker must end, what it could not finish: a broken connection would
-// leave its client to find out.
-func (b *Broker) stop(now, within time.Duration) {
-	b.stopped = true
-	b.after(now+within, func(now time.Duration) {
-		b.ending = true
-		ids := make([]uint64, 0, len(b.requests))
-		for id := range b.requests {
-			ids = append(ids, id)
+// lastWords answers, shortly before the broker must end, what it could not finish: a broken connection would leave its
+// client to find out. What comes later is refused.
+func (b *Broker) lastWords(now time.Duration) {
+	b.ending = true
+	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
+		if r := b.requests[id]; r != nil && !r.over {
+			b.tell(control.ClientGone{Query: r.name})
+			b.answer(now, r, r.lastWord())
 		}
-		slices.Sort(ids)
-		for _, id := range ids {
-			if r := b.requests[id]; r != nil && !r.over {
-				b.tell(control.ClientGone{Query: r.name})
-				b.answer(now, r, r.lastWord())
-			}
-		}
-	})
+	}
 }
 
 // lastWord answers a request that can't be finished: refused where trying again is harmless.
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -116,7 +116,7 @@
 		return err
 	}
 	loggedIn, begun := false, false // begun: a part of a message is there
-	within, idle := loginTimeout, c.n.cfg.Settings.LongestGiveUp+clientIdle
+	within := loginTimeout
 	for {
 		_, err := l.in.ReadOnce(l.nc)
 		if err != nil {
@@ -154,7 +154,7 @@
 			}
 		}
 		if loggedIn && (!begun || l.in.Len() == 0) {
-			within = idle
+			within = c.n.longestGiveUp() + clientIdle
 		}
 		switch part := l.in.Len() > 0; {
 		case !loggedIn, part && begun: // its time is running, however slowly more comes
@@ -329,6 +329,7 @@
 	n.scratch = appendReply(n.scratch[:0], r)
 	if _, err := c.link.write(n.scratch); errors.Is(err, ring.ErrFull) {
 		c.link.finish(&ended{Reason: BufferFull})
+		n.later(broker.SessionClosed{Session: r.Session})
 	}
 }
 
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -570,3 +570,44 @@
 		}
 	}
 }
+
+// A client that rests until the broker ends it may ask in the very moment of the shutdown. What is read after that is not
+// sent on: no answer could leave any more.
+func TestWhatIsReadAfterTheShutdownIsNotSentOn(t *testing.T) {
+	e := newEngine(t)
+	s := serve(t, host("e1", e.addr, "in_service", 0))
+	c := s.dial(query("lookup", 1, long, ""))
+	w := e.next(t, "want")
+	w.reply(w.id(), "OK", "-", "")
+	c.want("rows ")
+	s.node.inbox <- func() {
+		s.node.stop()
+		s.node.parting.since = time.Now().Add(-s.node.parting.window)
+	}
+	c.want("closed")
+	c.ask(query("lookup", 2, long, ""))
+	err := next(t, s.done, "the broker's end")
+	s.done <- err // for the clean-up
+	if err != nil {
+		t.Fatal(err)
+	}
+	next(t, e.closed, "the end of the connection to the engine")
+	for len(e.got) > 0 {
+		t.Errorf("the engine got %q", (<-e.got).parts)
+	}
+}
+
+// A client that does not read what it is told ends at once for the reducer as well: what it asks while its connection
+// comes to an end has no way back, and is not sent on.
+func TestNothingMoreIsTakenOfAClientThatDoesNotRead(t *testing.T) {
+	near, _ := pair(t)
+	c := &client{id: 7, link: newLink(near, 0, 10, 10)}
+	n := &Node{clients: map[broker.Session]*client{7: c}}
+	n.reply(broker.Reply{Session: 7, Kind: broker.Failed, Text: "more than there is room for"})
+	if c.link.closing == nil || c.link.closing.Reason != BufferFull {
+		t.Errorf("the connection ends as %v", c.link.closing)
+	}
+	if got, want := fmt.Sprint(n.backlog), fmt.Sprint([]broker.Event{broker.SessionClosed{Session: 7}}); got != want {
+		t.Errorf("the reducer is told %s, want %s", got, want)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,7 +63,8 @@
 	costsAt    time.Time
 	polls      atomic.Uint64 // calls to the change log, counted where they are made
 
-	tcpInfoRefused atomic.Bool // the system refused TCP_INFO once, which was logged
+	longest        atomic.Int64 // the longest deadline of all classes ever in force, in nanoseconds
+	tcpInfoRefused atomic.Bool  // the system refused TCP_INFO once, which was logged
 	ends           ends
 	over           chan struct{} // closed once nothing of Run goes on
 	handed         []string      // bans of the process before
@@ -92,6 +93,7 @@
 		clients: map[broker.Session]*client{}, nextID: broker.Session(cfg.Seed), slots: make(chan struct{}, slots),
 		changelog: cfg.Changelog, leave: func() {}, meter: unmeasured{}, over: make(chan struct{}),
 		sweepEvery: min(sweepEvery, time.Duration((1-idlePart)/2*float64(cfg.Settings.ConnIdle)))}
+	n.longest.Store(int64(cfg.Settings.LongestGiveUp))
 	n.pool = newPool(n)
 	if cfg.Settings.Control.Limits.Peers {
 		if n.gossip, err = newGossip(ctx, n); err != nil {
@@ -106,6 +108,10 @@
 // Addr is where clients connect.
 func (n *Node) Addr() net.Addr { return n.ln.Addr() }
 
+// longestGiveUp is the longest deadline that a request can have. It is read on the goroutines of clients as well, which a
+// reload must not race.
+func (n *Node) longestGiveUp() time.Duration { return time.Duration(n.longest.Load()) }
+
 func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
 // Run serves until ctx ends or, after a value on stop, until all that was taken is answered.
@@ -146,7 +152,8 @@
 		n.apply(broker.Retune{Settings: cfg.Settings.Control})
 		n.cfg.Settings.Control.Classes = cfg.Settings.Control.Classes
 		n.cfg.Settings.Control.Limits.MaxAttempts = cfg.Settings.Control.Limits.MaxAttempts
-		n.cfg.Settings.LongestGiveUp = max(n.cfg.Settings.LongestGiveUp, cfg.Settings.LongestGiveUp)
+		n.cfg.Settings.LongestGiveUp = cfg.Settings.LongestGiveUp
+		n.longest.Store(max(n.longest.Load(), int64(cfg.Settings.LongestGiveUp)))
 		n.log.Info("reloaded", zap.String("changelog", cfg.Changelog), zap.Strings("need_restart", n.cfg.NeedRestart(cfg)))
 	})
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -324,7 +324,7 @@
 
 // disown takes a stream off its connection whose answer may still come: until its client has given up, after which
 // the id is not sent again.
-func (p *pool) disown(s *stream) { p.spend(s, p.n.cfg.Settings.LongestGiveUp) }
+func (p *pool) disown(s *stream) { p.spend(s, p.n.longestGiveUp()) }
 
 // spend does so for a time.
 func (p *pool) spend(s *stream, within time.Duration) {
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -62,6 +62,9 @@
 		return false
 	case p.begun.IsZero():
 		p.begun = time.Now()
+		// Guards against a request that is read after the shutdown, on a connection that rested until then, and sent on:
+		// its answer could not leave any more.
+		n.apply(broker.Parting{})
 		for _, c := range n.clients {
 			c.link.finish(&ended{Reason: Shutdown})
 		}
