Let no attempt overtake the end of the one before; keep connections to restarted engines

- A request that ended in a round of the module let the words go that had waited behind it on its session at once, in the middle of carrying that round out.
Sessions now go on after the round (goOn).
- The list tells of a restart seconds late, and then all connections to the engine were closed, those to the new process as well; what was under way there was lost, of an unsafe class for good (Broker.host, pool.drop).
Only those begun before the restart are closed now.

--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -219,8 +219,12 @@
 	}
 	// DropUnsent ends attempts that wait for a connection to an engine that drains.
 	DropUnsent struct{ Engine string }
-	// DropEngine closes all connections to an engine that is gone, has restarted or lost its address.
-	DropEngine struct{ Engine string }
+	// DropEngine closes the connections to an engine that is gone, has restarted or lost its address: those begun before
+	// a time, or all of them if that is 0. One begun since an engine has restarted is to the new process.
+	DropEngine struct {
+		Engine string
+		Before time.Duration
+	}
 	// Note is a line for the log.
 	Note struct{ Text string }
 )
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -34,6 +34,7 @@
 	lastRound time.Duration
 	pending   []control.Event
 	out       []Effect
+	freed     []Session // those answered by what is being carried out; what waited there goes on after that
 
 	sessions sessions
 	requests map[uint64]*request
@@ -42,6 +43,7 @@
 	open     int // requests that are owed an answer
 
 	engines map[string]changelog.Host
+	copies  bool            // two attempts of a request may be out at once
 	ready   int             // engines in service and not left out
 	bans    map[string]bool // engines left out by hand
 	listed  map[string]bool // engines that were ever listed, as far as is kept
@@ -100,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Broker{decide: c, round: set.Round, sessions: newSessions(mostSessions), requests: map[uint64]*request{}, refs: map[string]bool{},
+	b := &Broker{decide: c, round: set.Round, copies: set.Limits.Copies, sessions: newSessions(mostSessions), requests: map[uint64]*request{}, refs: map[string]bool{},
 		engines: map[string]changelog.Host{}, bans: map[string]bool{}, listed: map[string]bool{}, probes: map[uint64]probe{}, trains: map[string]*train{},
 		classes: map[string]control.Class{}, tenants: map[string]bool{}, sweepTrains: fewTrains, meter: Unmeasured{}}
 	for _, k := range set.Classes {
@@ -145,9 +147,20 @@
 			b.act(now, a)
 		}
 	}
+	b.goOn(now)
 	return b.take()
 }
 
+// goOn lets the sessions that were answered go on with what came ahead of their answers. Guards against a word that
+// waited so and ends a request that the same round of the module sends: the module would wait for that attempt's end.
+func (b *Broker) goOn(now time.Duration) {
+	for len(b.freed) > 0 {
+		id := b.freed[0]
+		b.freed = b.freed[1:]
+		b.idle(now, id)
+	}
+}
+
 // inOrder sorts the arrivals among events by the time they were sent; all else keeps its place.
 func inOrder(events []control.Event) {
 	var places []int
@@ -235,6 +248,7 @@
 	case Retune:
 		b.retune(ev.Settings)
 	}
+	b.goOn(now)
 	return b.take()
 }
 
@@ -358,7 +372,10 @@
 	if b.finish(r) {
 		b.measureOver(now, r, reply.Kind, false)
 		b.reply(r.session, reply)
-		b.idle(now, r.session)
+		if s := b.sessions.by[r.session]; s != nil {
+			s.open = nil
+			b.freed = append(b.freed, r.session)
+		}
 	}
 }
 
@@ -487,9 +504,11 @@
 		// Guards against a BUSY or VOID for a page, which would pass as proof that nothing ran.
 		status = control.Failed
 	}
-	if a.r.Order != "" && (status == control.Cancelled || status == control.TimedOut) {
-		// Guards the order of a key at the engines: the word that calls this attempt off has left, but the
-		// next request of the key could overtake it on the way to another engine.
+	calledOff := status == control.Cancelled || status == control.TimedOut
+	if calledOff && (a.r.Order != "" || !b.copies) || status == control.Reset && !b.copies {
+		// Guards the order of a key at the engines, and the rule that no request has two attempts out: the word that
+		// calls this attempt off has left, or its connection has ended, but the next request of the key or the next
+		// attempt could overtake that on the way to another engine.
 		b.after(now+settle, func(now time.Duration) { b.end(now, a, control.Attempt{Status: status, Report: ev.Report}) })
 		return
 	}
@@ -627,7 +646,7 @@
 			}
 			for _, id := range b.hosts() {
 				if !named[id] {
-					b.do(DropEngine{id})
+					b.do(DropEngine{Engine: id})
 					delete(b.engines, id)
 				}
 			}
@@ -653,15 +672,22 @@
 		// Guards against answers of an engine that is gone being taken for those of the one that has its
 		// address now, and against work that goes to the wrong one.
 		if o := b.engines[id]; id != h.ID && o.Addr == h.Addr && h.State != control.Gone {
-			b.do(DropEngine{id})
+			b.do(DropEngine{Engine: id})
 			delete(b.engines, id)
 			replaced = append(replaced, id)
 		}
 	}
 	old, listed := b.engines[h.ID]
 	switch {
-	case h.State == control.Gone, listed && (old.Addr != h.Addr || h.StartedAt > old.StartedAt):
-		b.do(DropEngine{h.ID})
+	case h.State == control.Gone, listed && old.Addr != h.Addr:
+		b.do(DropEngine{Engine: h.ID})
+	case listed && h.StartedAt > old.StartedAt:
+		// The list tells of a restart seconds late. What went to the new process meanwhile is under way there, and would
+		// fail for nothing if its connection were closed: of an unsafe class for good.
+		b.do(DropEngine{Engine: h.ID, Before: h.StartedAt})
+		if h.State == control.Draining {
+			b.do(DropUnsent{h.ID})
+		}
 	case h.State == control.Draining:
 		b.do(DropUnsent{h.ID})
 	}
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -334,11 +334,11 @@
 		want   []Effect
 	}{
 		"drains":           {page(2, false, host("e1", "127.0.0.1:1", control.Draining)), []Effect{DropUnsent{"e1"}}},
-		"gone":             {page(2, false, host("e1", "127.0.0.1:1", control.Gone)), []Effect{DropEngine{"e1"}}},
-		"restarted":        {page(2, false, restarted), []Effect{DropEngine{"e1"}}},
-		"moved":            {page(2, false, host("e1", "127.0.0.1:9", control.Ready)), []Effect{DropEngine{"e1"}}},
-		"address passed":   {page(2, false, host("e3", "127.0.0.1:1", control.Ready)), []Effect{DropEngine{"e1"}}},
-		"left a whole one": {page(2, true, host("e2", "127.0.0.1:2", control.Ready)), []Effect{DropEngine{"e1"}}},
+		"gone":             {page(2, false, host("e1", "127.0.0.1:1", control.Gone)), []Effect{DropEngine{Engine: "e1"}}},
+		"restarted":        {page(2, false, restarted), []Effect{DropEngine{Engine: "e1", Before: restarted.StartedAt}}},
+		"moved":            {page(2, false, host("e1", "127.0.0.1:9", control.Ready)), []Effect{DropEngine{Engine: "e1"}}},
+		"address passed":   {page(2, false, host("e3", "127.0.0.1:1", control.Ready)), []Effect{DropEngine{Engine: "e1"}}},
+		"left a whole one": {page(2, true, host("e2", "127.0.0.1:2", control.Ready)), []Effect{DropEngine{Engine: "e1"}}},
 		"known before":     {page(1, false, host("e1", "127.0.0.1:1", control.Gone)), nil},
 	} {
 		r := newRig(t, host("e1", "127.0.0.1:1", control.Ready), host("e2", "127.0.0.1:2", control.Ready))
--- a/internal/broker/crossing_test.go
+++ b/internal/broker/crossing_test.go
@@ -189,3 +189,54 @@
 		})
 	}
 }
+
+// A request that ends in the round that also sends another one may let a word go that had waited behind it, such as one
+// that kills that other. At whichever moment they meet, the module is told how each of its attempts ended: one that it
+// never hears of would take room at its engine for good.
+func TestAWordThatWaitedKillsWhatItsRoundSends(t *testing.T) {
+	for offset := range 40 {
+		r := newRig(t, host("e1", "127.0.0.1:1", control.Ready))
+		r.submit(1, "lookup", "", 40*ms)
+		r.apply(Kill{By: 1, Target: 2, Sent: r.now + time.Second})
+		r.run(time.Duration(offset) * ms)
+		r.b.Apply(r.now, Submit{2, Request{Ref: "b", Class: "lookup", Sent: r.now, Allow: time.Second}})
+		r.run(100 * ms)
+		for _, w := range of[Want](r.got) {
+			r.apply(Ended{Attempt: w.Attempt, Status: control.Cancelled})
+		}
+		r.run(2 * time.Second)
+		var v control.View
+		r.b.decide.View(&v)
+		if v.Engines[0].Threads != 0 || len(r.b.requests) != 0 || r.b.Open() != 0 {
+			t.Errorf("%d ms: %d threads are held and %d requests are left", offset, v.Engines[0].Threads, len(r.b.requests))
+		}
+	}
+}
+
+// Where second copies are forbidden, the next attempt of a request leaves only once the word that called off the one before
+// has had its way, or the end of its connection: it may have the shorter way to another engine.
+func TestNoAttemptOvertakesTheEndOfTheOneBefore(t *testing.T) {
+	for _, c := range []struct {
+		copies bool
+		how    control.Status
+		waits  bool
+	}{
+		{true, control.Cancelled, false}, {true, control.Reset, false},
+		{false, control.Cancelled, true}, {false, control.Reset, true},
+		{false, control.ConnectFailed, false}, {false, control.Full, false}, // these never ran
+	} {
+		set := settings()
+		set.Limits.Copies = c.copies
+		r := newRigOf(t, set, host("e1", "127.0.0.1:1", control.Ready), host("e2", "127.0.0.1:2", control.Ready))
+		r.submit(1, "lookup", "", time.Second)
+		r.run(20 * ms)
+		r.apply(Ended{Attempt: of[Want](r.got)[0].Attempt, Status: c.how})
+		ended := r.now
+		for len(of[Want](r.got)) < 2 && r.now < ended+time.Second {
+			r.run(ms)
+		}
+		if waited := r.now-ended >= settle; waited != c.waits {
+			t.Errorf("%+v: the next attempt left after %v", c, r.now-ended)
+		}
+	}
+}
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -478,7 +478,7 @@
 	}
 	// What is there while nobody asks: the broker's connections to the engine are dropped for the count.
 	count := func() (goroutines, descriptors int) {
-		look(s, func(n *Node) bool { n.pool.drop("e1"); return true })
+		look(s, func(n *Node) bool { n.pool.drop("e1", 0); return true })
 		all, err := os.ReadDir("/proc/self/fd")
 		if err != nil {
 			t.Fatal(err)
@@ -611,3 +611,29 @@
 		t.Errorf("the reducer is told %s, want %s", got, want)
 	}
 }
+
+// The list tells of an engine's restart late. A connection to the process before it is closed and what was out there is
+// made again; one that was begun since is to the new process, and what is under way on it goes on.
+func TestARestartThatIsToldLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		born time.Duration // after the connection came up
+		kept bool
+	}{"restarted since": {10 * time.Millisecond, false}, "restarted before": {-time.Minute, true}} {
+		t.Run(name, func(t *testing.T) {
+			e := newEngine(t)
+			s := serve(t, host("e1", e.addr, "in_service", 0))
+			a := s.dial(query("lookup", 1, long, ""))
+			w := e.next(t, "want")
+			s.change(page(2, false, host("e1", e.addr, "in_service", time.Now().Add(c.born).UnixMilli())), 2)
+			if !c.kept {
+				next(t, e.closed, "the end of the old process's connection")
+				w = e.next(t, "want")
+			}
+			w.reply(w.id(), "OK", "-", "x\ty\tz\n")
+			a.want("rows x|y|z|")
+			if conns := look(s, func(n *Node) int { return n.pool.count }); conns != 1 || len(e.got)+len(e.closed) > 0 {
+				t.Fatalf("%d connections, %d more messages and %d more ends", conns, len(e.got), len(e.closed))
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -294,7 +294,7 @@
 			n.pool.drains(e.Engine)
 			n.pool.dropUnsent(e.Engine)
 		case broker.DropEngine:
-			n.pool.drop(e.Engine)
+			n.pool.drop(e.Engine, e.Before)
 		case broker.Note:
 			n.log.Info("note", zap.String("text", e.Text))
 		}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -52,6 +52,7 @@
 	spent        map[string]time.Time // ids that may be answered though nothing waits for that, and until when
 	retired      bool                 // takes nothing new
 	gone         bool
+	begun        time.Time // when it was first tried to bring it up
 	used         time.Time
 	heard        time.Time // when a word last came; the time it came up before that
 	doubtAt      time.Time // since when it is doubted, and asked whether it is alive where that is allowed; zero: it is not
@@ -179,7 +180,7 @@
 	n := p.n
 	ctx, cancel := context.WithCancel(n.ctx)
 	p.n.costs.Dials++
-	c := &upstream{engine: engine, addr: addr, cancel: cancel, streams: map[string]*stream{}, spent: map[string]time.Time{}}
+	c := &upstream{engine: engine, addr: addr, cancel: cancel, begun: time.Now(), streams: map[string]*stream{}, spent: map[string]time.Time{}}
 	p.conns[engine] = append(p.conns[engine], c)
 	p.count++
 	n.group.Go(func() error {
@@ -468,11 +469,13 @@
 	}
 }
 
-// drop closes all connections to an engine.
-func (p *pool) drop(engine string) {
+// drop closes the connections to an engine that were begun before a Unix time, or all of them if that is 0.
+func (p *pool) drop(engine string, before time.Duration) {
 	delete(p.left, engine)
 	for _, c := range slices.Clone(p.conns[engine]) {
-		p.close(c, EngineGone)
+		if before == 0 || c.begun.Before(time.Unix(0, int64(before))) {
+			p.close(c, EngineGone)
+		}
 	}
 }
 
