Answer half-closed clients, and make room for connections where a deployment's limits are small

- A client that ended what it writes (FIN) and still read was closed without the answer that it was owed: its reader's end closed the socket at once (client.read, link.run), also over an answer on its way out.
It still counts as one that has left, as the two can't be told apart, so nothing more is sent on or waited for; but what it had asked is answered now, refused where trying again is harmless and else failed, and the connection ends once that has left (broker.HalfClosed).
- A quarter of the limit of sockets bounds connections to engines, and eight of them one engine.
Past either, an attempt ended as connect_failed, which holds the engine for out of order: with more engines than a quarter of the sockets, or with few attempts a connection, healthy engines were set aside (pool.start).
The connection idle longest makes room now, an engine gets as many connections as 64 attempts need, and an attempt without room ends as full, which proves as well that it never ran.

--- a/internal/broker/api.go
+++ b/internal/broker/api.go
@@ -67,6 +67,9 @@
 	}
 	// SessionClosed says that a client's connection ended.
 	SessionClosed struct{ Session Session }
+	// HalfClosed says that a client will write nothing more. That can't be told from one that has left, so nothing more is
+	// done for it; but it may still read, so what it is owed is answered. Its connection is to end after that.
+	HalfClosed struct{ Session Session }
 	// Served is the good end of an attempt at its engine: the first page, and how many there are.
 	Served struct {
 		Attempt  Attempt
@@ -117,6 +120,7 @@
 func (Kill) event()          {}
 func (Bad) event()           {}
 func (SessionClosed) event() {}
+func (HalfClosed) event()    {}
 func (Served) event()        {}
 func (Page) event()          {}
 func (Ended) event()         {}
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -222,6 +222,8 @@
 		b.command(now, ev.Session, ev)
 	case SessionClosed:
 		b.sessionEnds(now, ev.Session)
+	case HalfClosed:
+		b.halfClosed(now, ev.Session)
 	case Served:
 		b.served(now, ev)
 	case Page:
@@ -716,19 +718,19 @@
 	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
 		if r := b.requests[id]; r != nil && !r.over {
 			b.tell(control.ClientGone{Query: r.name})
-			b.answer(now, r, r.lastWord())
+			b.answer(now, r, r.lastWord(stopping))
 		}
 	}
 }
 
 // lastWord answers a request that can't be finished: refused where trying again is harmless.
-func (r *request) lastWord() Reply {
+func (r *request) lastWord(why string) Reply {
 	k := r.class
 	ran := slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.ran })
 	if !ran || k.Effect == control.Repeatable || k.Effect == control.Keyed && k.Scope == control.ScopeAll {
-		return Reply{Kind: Refused, Text: stopping}
+		return Reply{Kind: Refused, Text: why}
 	}
-	return Reply{Kind: Failed, Text: stopping}
+	return Reply{Kind: Failed, Text: why}
 }
 
 // timers is a heap by time, and by order of setting within one time.
--- a/internal/broker/sessions.go
+++ b/internal/broker/sessions.go
@@ -7,6 +7,7 @@
 
 const (
 	killed     = "the query was killed"
+	halfClosed = "its client wrote that nothing more comes"
 	mostQueued = 2 // commands that a session may have waiting for their turn
 	// sayWithin is how long a client that has just connected may take to log in before it makes room ahead of
 	// those that are idle. Usual clients log in as they connect; the time is for a broker that is slow to read it.
@@ -106,6 +107,23 @@
 	delete(b.sessions.by, id)
 }
 
+// halfClosed ends a session whose client may still read, with an answer to all that it asked and that waits.
+func (b *Broker) halfClosed(now time.Duration, id Session) {
+	s := b.sessions.by[id]
+	if s == nil {
+		return
+	}
+	if r := s.open; r != nil {
+		b.reply(id, r.lastWord(halfClosed))
+	}
+	for _, ev := range s.queue {
+		if _, ok := ev.(Submit); ok {
+			b.reply(id, Reply{Kind: Refused, Text: halfClosed})
+		}
+	}
+	b.sessionEnds(now, id)
+}
+
 // command takes what a session asks, one thing at a time: what comes ahead of an answer waits its turn. What
 // comes of one that was closed meanwhile is passed over.
 func (b *Broker) command(now time.Duration, id Session, ev Event) {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -130,6 +130,8 @@
 				return &ended{LoginTimeout, err}
 			case isTimeout(err) && begun:
 				return &ended{ReadTimeout, err}
+			case errors.Is(err, io.EOF):
+				return c.halfClosed(ctx, err)
 			}
 			return err
 		}
@@ -169,6 +171,16 @@
 	}
 }
 
+// halfClosed lets the last answers leave, as the client may still read them, and then the connection ends.
+func (c *client) halfClosed(ctx context.Context, err error) error {
+	c.n.post(ctx, func() {
+		c.n.apply(broker.HalfClosed{Session: c.id})
+		c.link.finish(&ended{Reason: PeerClosed})
+	})
+	<-ctx.Done()
+	return err
+}
+
 func (c *client) greet() error {
 	var salt [20]byte
 	if _, err := rand.Read(salt[:]); err != nil {
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -637,3 +637,105 @@
 		})
 	}
 }
+
+// Where the limit of sockets allows no more connections to engines, the one idle longest makes room: engines that have
+// none would else be held for out of order.
+func TestAnIdleConnectionMakesRoomForAnotherEngine(t *testing.T) {
+	e, o := newEngine(t), newEngine(t)
+	s := serve(t, host("e1", e.addr, "in_service", 0))
+	a := s.dial(query("lookup", 1, long, ""))
+	w := e.next(t, "want")
+	w.reply(w.id(), "OK", "-", "")
+	a.want("rows ")
+	look(s, func(n *Node) bool { n.pool.count = n.cfg.Sockets / engineShare; return true })
+	s.change(page(2, false, host("e1", e.addr, "terminating", 0), host("e2", o.addr, "in_service", 0)), 2)
+	b := s.dial(query("lookup", 2, long, ""))
+	w = o.next(t, "want")
+	next(t, e.closed, "the end of the idle connection")
+	if got := s.reasons(e.addr); got != string(MadeRoom) {
+		t.Fatalf("it ended as %s", got)
+	}
+	w.reply(w.id(), "OK", "-", "")
+	b.want("rows ")
+}
+
+// With no idle connection to make room, an attempt never leaves, which says nothing against its engine.
+func TestNoRoomForAnotherConnection(t *testing.T) {
+	n, _, _ := quiet(t)
+	one, two := broker.Attempt{Request: 1}, broker.Attempt{Request: 2}
+	n.pool.want(broker.Want{Attempt: one, Engine: "e1", Addr: "a", Ref: "1", Class: "lookup", Patience: time.Second, Priority: 1})
+	n.pool.count = n.cfg.Sockets / engineShare
+	n.pool.want(broker.Want{Attempt: two, Engine: "e2", Addr: "b", Ref: "2", Class: "lookup", Patience: time.Second, Priority: 1})
+	if got, want := fmt.Sprint(n.backlog), fmt.Sprint([]broker.Event{broker.Ended{Attempt: two, Status: control.Full}}); got != want {
+		t.Fatalf("told: %s, want %s", got, want)
+	}
+}
+
+// A deployment may let a connection take one attempt only. An engine still gets as many at once as it is sent.
+func TestManyAttemptsWhereConnectionsTakeOne(t *testing.T) {
+	e := newEngine(t)
+	s := serveChanged(t, unmeasured{}, 30*time.Second, 1024, func(c *config.Config) { c.Settings.MaxStreams = 1 },
+		host("e1", e.addr, "in_service", 0))
+	const clients = 2 * perEngine
+	conns := map[net.Conn]bool{}
+	for i := range clients {
+		s.dial(query("lookup", i+1, long, ""))
+	}
+	for range clients {
+		conns[e.next(t, "want").conn] = true
+	}
+	if len(conns) != clients {
+		t.Fatalf("%d attempts on %d connections", clients, len(conns))
+	}
+}
+
+// A client that ends what it writes may still read. Nothing more is done for what it asked, as it can't be told from one
+// that has left, and it is told so: refused where trying again is harmless, else failed. Then its connection ends.
+func TestAHalfClosedClientIsAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		class string
+		out   bool // an attempt is out
+		want  string
+	}{
+		"repeatable, out":     {"lookup", true, "1226"},
+		"unsafe, out":         {"once", true, "1105"},
+		"unsafe, never sent":  {"once", false, "1226"},
+		"nothing is open":     {"", false, "closed"},
+		"two, the first sent": {"lookup", true, "1226"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEngine(t)
+			health := "in_service"
+			if !c.out {
+				health = "terminating"
+			}
+			s := serve(t, host("e1", e.addr, health, 0))
+			a := s.dial()
+			if c.class != "" {
+				a.ask(query(c.class, 1, long, ""))
+				until(t, "it is taken", func() bool { return look(s, func(n *Node) bool { return n.b.Open() == 1 }) })
+			}
+			if c.out {
+				e.next(t, "want")
+			}
+			if strings.HasPrefix(name, "two") {
+				a.ask(query(c.class, 2, long, ""))
+			}
+			a.nc.(*net.TCPConn).CloseWrite()
+			a.want(c.want)
+			if strings.HasPrefix(name, "two") {
+				a.want("1226")
+			}
+			if c.want != "closed" {
+				a.want("closed")
+			}
+			if c.out {
+				e.next(t, "never_mind")
+			}
+			until(t, "it is gone", func() bool { return look(s, func(n *Node) bool { return n.b.Open()+len(n.clients) == 0 }) })
+			if got := s.reasons(a.nc.LocalAddr().String()); got != string(PeerClosed) {
+				t.Errorf("it ended as %s", got)
+			}
+		})
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -19,7 +19,8 @@
 	engineIn     = resp.MostMessage
 	engineOut    = 1 << 20
 	engineShare  = 4                      // connections to engines get the limit of sockets over this at the most
-	perEngine    = 8                      // connections to one engine
+	perEngine    = 8                      // connections to one engine, or more where they take few attempts each
+	atOneEngine  = 64                     // attempts that one engine can be sent at once, however few a connection takes
 	mostSpent    = 1024                   // ids that are spent on one connection before it is replaced
 	stallWait    = 200 * time.Millisecond // an answer that has begun is whole by then
 	lastLook     = 10 * time.Millisecond  // what came while the process stood still is read before that is judged
@@ -120,8 +121,9 @@
 		}
 	}
 	if c == nil {
-		if len(p.conns[engine]) >= perEngine || p.count >= p.n.cfg.Sockets/engineShare {
-			p.end(s, control.ConnectFailed)
+		if len(p.conns[engine]) >= p.mostTo() || p.count >= p.n.cfg.Sockets/engineShare && !p.makeRoom() {
+			// It is this broker that has no room: the engine is not to be held for one that can't be reached.
+			p.end(s, control.Full)
 			return
 		}
 		c = p.dial(engine, addr)
@@ -134,6 +136,31 @@
 	}
 }
 
+// mostTo is how many connections one engine gets. Guards against engines held for out of order in deployments whose
+// connections take few attempts each.
+func (p *pool) mostTo() int {
+	streams := p.n.cfg.Settings.MaxStreams
+	return max(perEngine, (atOneEngine+streams-1)/streams)
+}
+
+// makeRoom closes the connection that was idle longest, if one is idle: there may be more engines than the limit of
+// sockets allows connections to.
+func (p *pool) makeRoom() bool {
+	var first *upstream
+	for _, conns := range p.conns {
+		for _, c := range conns {
+			if c.link != nil && len(c.streams) == 0 && (first == nil || c.used.Before(first.used)) {
+				first = c
+			}
+		}
+	}
+	if first == nil {
+		return false
+	}
+	p.close(first, MadeRoom)
+	return true
+}
+
 // send hands a stream's message to its connection.
 func (p *pool) send(s *stream) {
 	at, err := s.c.link.write(s.message)
