Let nothing leave a connection that was closed from here and said to be unsent

- Closing a connection to an engine (DropEngine, a silent one, a full buffer) told the reducer at once what had never left, but the socket was closed by another goroutine a little later: the one that writes could still take those bytes in between (pool.close, pool.down, link.take).
An attempt said to be unsent is sent again elsewhere, of an unsafe class too: its effect could come twice.
The test, which lets the writer come first, saw the second "want" leave.
What is beyond the count is now taken back under the lock that the count is made under (link.cut).
- A request worded by the deadlines before a reload to shorter ones was turned away as having no such time to wait (Broker.submit); a class now keeps the longest deadline it had for that check.
- Connections beyond all slots were closed over the bytes that their clients had written already, a reset that can destroy the refusal (node.accept).
What has come is read first, without waiting.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -54,6 +54,7 @@
 	trains      map[string]*train // by order key
 	sweepTrains int               // so many trains, and those that are over go
 	classes     map[string]control.Class
+	longest     map[string]time.Duration // the longest deadline that each class ever had
 	tenants     map[string]bool
 	timers      timers
 	ordinal     uint64
@@ -104,10 +105,8 @@
 	}
 	b := &Broker{decide: c, round: set.Round, copies: set.Limits.Copies, sessions: newSessions(mostSessions), requests: map[uint64]*request{}, refs: map[string]bool{},
 		engines: map[string]changelog.Host{}, bans: map[string]bool{}, listed: map[string]bool{}, probes: map[uint64]probe{}, trains: map[string]*train{},
-		classes: map[string]control.Class{}, tenants: map[string]bool{}, sweepTrains: fewTrains, meter: Unmeasured{}}
-	for _, k := range set.Classes {
-		b.classes[k.Name] = k
-	}
+		classes: map[string]control.Class{}, longest: map[string]time.Duration{}, tenants: map[string]bool{}, sweepTrains: fewTrains, meter: Unmeasured{}}
+	b.setClasses(set.Classes)
 	for _, t := range set.Tenants {
 		b.tenants[t.Name] = true
 	}
@@ -263,7 +262,7 @@
 		bad = "no such class"
 	case len(b.tenants) > 0 && !b.tenants[ev.Request.Tenant]:
 		bad = "no such tenant"
-	case k.GiveUp > 0 && ev.Request.Allow > k.GiveUp+allowSlack:
+	case k.GiveUp > 0 && ev.Request.Allow > b.longest[ev.Request.Class]+allowSlack:
 		bad = "the class has no such time to wait"
 	case k.Effect == control.Keyed && ev.Request.Idem == "":
 		// Without it an engine could not drop a repeat, and the effect might come twice.
--- a/internal/broker/crossing_test.go
+++ b/internal/broker/crossing_test.go
@@ -240,3 +240,21 @@
 		}
 	}
 }
+
+// A request that crosses a reload to shorter deadlines was worded by those before, and is taken; one that waits longer than
+// any that were in force is not.
+func TestARequestThatCrossesAReloadToShorterDeadlines(t *testing.T) {
+	set := settings()
+	set.Classes[0].GiveUp = 5 * time.Second
+	for allow, wants := range map[time.Duration]int{time.Second: 1, 5 * time.Second: 1, 7 * time.Second: 0} {
+		r := newRigOf(t, set, host("e1", "127.0.0.1:1", control.Ready))
+		shorter := settings()
+		shorter.Classes[0].GiveUp = time.Second
+		r.apply(Retune{shorter})
+		r.submit(1, "lookup", "", allow)
+		r.run(20 * ms)
+		if got := len(of[Want](r.got)); got != wants {
+			t.Errorf("allow %v: %d attempts, want %d", allow, got, wants)
+		}
+	}
+}
--- a/internal/broker/retune.go
+++ b/internal/broker/retune.go
@@ -9,9 +9,15 @@
 func (Retune) event() {}
 
 func (b *Broker) retune(set control.Settings) {
-	b.classes = make(map[string]control.Class, len(set.Classes))
-	for _, k := range set.Classes {
-		b.classes[k.Name] = k
-	}
+	clear(b.classes)
+	b.setClasses(set.Classes)
 	b.decide.Retune(set.Classes, set.Limits)
 }
+
+// setClasses puts classes in force. Clients word requests by those before for a while, so a class keeps the longest
+// deadline that it had: guards against requests that are turned away as they cross a reload to shorter ones.
+func (b *Broker) setClasses(classes []control.Class) {
+	for _, k := range classes {
+		b.classes[k.Name], b.longest[k.Name] = k, max(k.GiveUp, b.longest[k.Name])
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -77,8 +78,7 @@
 		default:
 			// Closed at once, not left waiting in the kernel: what is written there counts as taken, and requests
 			// of one key that come later would overtake it.
-			nc.Write(mysql.AppendError(nil, 0, mysql.CodeConnections, "too many connections")) // a new socket has room for it
-			nc.Close()
+			turnAway(nc)
 			n.ended(ClientSide, peer, began, &ended{Reason: TooMany})
 			continue
 		}
@@ -101,6 +101,28 @@
 	}
 }
 
+// turnAway refuses a connection that there is no room for, without waiting for anything.
+func turnAway(nc net.Conn) {
+	defer nc.Close()
+	nc.Write(mysql.AppendError(nil, 0, mysql.CodeConnections, "too many connections")) //nolint:errcheck // a new socket has room for it
+	// Guards against a close over unread bytes, which would be a reset: its client may have lost the refusal then.
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		if raw, err := tcp.SyscallConn(); err == nil {
+			buf := make([]byte, 4<<10)
+			raw.Read(func(fd uintptr) bool { //nolint:errcheck // it is closed in any case
+				for left := clientIn; left > 0; {
+					size, err := syscall.Read(int(fd), buf)
+					if size <= 0 || err != nil {
+						break
+					}
+					left -= size
+				}
+				return true
+			})
+		}
+	}
+}
+
 // read greets a client, logs it in and hands on what it asks.
 func (c *client) read(ctx context.Context) error {
 	select {
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -739,3 +739,40 @@
 		})
 	}
 }
+
+// A client for which there is no room gets its refusal and an end in good order, though it has written already and nobody
+// reads that.
+func TestARefusalAtTheDoorOutlivesUnreadBytes(t *testing.T) {
+	near, far := pair(t)
+	if _, err := far.Write(append(loginAs("app"), packet(0, "\x03"+query("lookup", 1, long, ""))...)); err != nil {
+		t.Fatal(err)
+	}
+	turnAway(near)
+	c := newCustomer(t, far)
+	c.want("1040")
+	c.want("closed")
+}
+
+// A connection is closed from here as a request is on its way to the goroutine that writes: what is said never to have left,
+// and may be sent elsewhere for that, does not leave any more. What has begun to leave counts as that.
+func TestNothingLeavesAConnectionThatIsClosed(t *testing.T) {
+	n, l, far := quiet(t)
+	one, two := broker.Attempt{Request: 1}, broker.Attempt{Request: 2}
+	ask := func(a broker.Attempt) {
+		n.pool.want(broker.Want{Attempt: a, Engine: "e1", Addr: "a", Ref: fmt.Sprint(a.Request), Class: "once", Patience: time.Second, Priority: 1})
+	}
+	ask(one)
+	first := int(l.put)
+	l.take() // it is being written as the connection is closed
+	ask(two)
+	n.pool.drop("e1", 0)
+	want := fmt.Sprint([]broker.Event{broker.Ended{Attempt: one, Status: control.Reset}, broker.Ended{Attempt: two, Status: control.ConnectFailed, Shared: true}})
+	if got := fmt.Sprint(n.backlog); got != want {
+		t.Errorf("told: %s, want %s", got, want)
+	}
+	l.finish(&ended{Reason: Shutdown}) // the goroutine that writes comes to it ahead of the close
+	go l.drain(t.Context())
+	if all, _ := io.ReadAll(far); len(all) != first {
+		t.Errorf("the engine got %q", all)
+	}
+}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -98,6 +98,17 @@
 	return true
 }
 
+// cut takes back all of which not one byte has left and returns the number of bytes that may have: the link is about to
+// close, and what is beyond that number is said never to have left, so it must not any more.
+func (l *link) cut() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.puts {
+		l.puts[i].back = l.puts[i].back || l.puts[i].at >= l.handed
+	}
+	return l.handed
+}
+
 // then calls do, on the goroutine that writes, once all that was put so far has left.
 func (l *link) then(do func()) {
 	l.mu.Lock()
@@ -123,14 +134,6 @@
 	}
 }
 
-// left is the number of bytes that may have left. While a write is under way it counts as if all of it had:
-// what is beyond this number is proven not to have.
-func (l *link) left() int64 {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.handed
-}
-
 // empty tells whether all that was put has left.
 func (l *link) empty() bool {
 	l.mu.Lock()
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -269,7 +269,7 @@
 	}
 	left := int64(-1)
 	if c.link != nil {
-		left = c.link.left()
+		left = c.link.cut()
 	}
 	streams := slices.SortedFunc(maps.Values(c.streams), func(a, b *stream) int { return a.at.Compare(b.at) })
 	clear(c.streams)
