Serve under settings that leave out rules, aims, attempts or engines' memory

Each figure of the settings was left out in turn, for one broker and for 300.

No engine counts as cold now where the settings don't say by what cold ones fall. Its deadline is its aim now. - Without Limits.MaxAttempts nothing was ever sent. One attempt is the least. - Engines whose memory is not told were held to have 1 MB, which bounded them to a few threads.

--- a/control/control.go
+++ b/control/control.go
@@ -204,9 +204,12 @@
 	return len(q.attempts) >= c.set.Limits.MaxAttempts || slices.ContainsFunc(q.attempts, bars)
 }
 
-// cold says whether an engine started lately; a second is added for what the list's clock may be off.
+// cold says whether an engine started lately; a second is added for what the list's clock may be off. None is
+// where the deployment doesn't say by what cold ones fall.
 func (c *Controller) cold(e *engine) bool {
-	return e.StartedAt > 0 && c.now-e.StartedAt < c.set.Rules.WarmAfter+time.Second
+	r := &c.set.Rules
+	falls := r.FallWindow > 0 && r.FallMultiple > 0
+	return falls && e.StartedAt > 0 && c.now-e.StartedAt < r.WarmAfter+time.Second
 }
 
 func (c *Controller) warmth(e *engine) float64 {
--- a/control/state.go
+++ b/control/state.go
@@ -368,8 +368,9 @@
 		tenantOf: map[string]int{}, engineOf: map[string]*engine{}, queries: map[string]*query{},
 		lines: map[string]*keyLine{}, alarms: map[uint64]func(){}, token: firstToken,
 		loggedAt: map[string]time.Duration{}, banned: map[string]bool{}, part: 1 / float64(set.Gateways), price: leastPrice}
+	c.set.Limits.MaxAttempts = max(1, set.Limits.MaxAttempts)
 	for i, k := range set.Classes {
-		k.Threads = max(1, k.Threads)
+		k = k.whole()
 		c.widest = max(c.widest, float64(k.Threads))
 		c.classOf[k.Name] = i
 		guess := firstGuess * k.Aim.Seconds() * float64(k.Threads)
@@ -398,6 +399,19 @@
 	return c, nil
 }
 
+// whole is a class with what its deployment leaves out: it takes a thread at the least, and one without an aim is wanted by
+// the time at which clients give up. Guards against queries that are refused as they can't make an aim that nobody has.
+func (k Class) whole() Class {
+	const anyAim = time.Second // of a class that has neither
+	k.Threads = max(1, k.Threads)
+	if k.Aim <= 0 {
+		if k.Aim, k.AimStretch = k.GiveUp, 0; k.GiveUp <= 0 {
+			k.Aim = anyAim
+		}
+	}
+	return k
+}
+
 // means gives the mean threads and memory of a query in service, by rate and time.
 func (c *Controller) means() (threads, memory float64) {
 	n := 0.0
@@ -439,7 +453,10 @@
 }
 
 func (c *Controller) newEngine(in Engine, kind Kind) *engine {
-	e := &engine{Engine: Engine{ID: in.ID}, squeeze: 1, cores: max(1, kind.Cores), memory: max(1, kind.MemoryMB), fullAt: -1}
+	e := &engine{Engine: Engine{ID: in.ID}, squeeze: 1, cores: max(1, kind.Cores), memory: kind.MemoryMB, fullAt: -1}
+	if e.memory <= 0 { // not said, so nothing is bounded by it
+		e.memory = math.Inf(1)
+	}
 	for _, b := range in.ID {
 		e.hash = (e.hash*31 + int(b)) % 1000003
 	}
@@ -881,7 +898,7 @@
 func (c *Controller) Retune(classes []Class, limits Limits) {
 	grew := false
 	for _, k := range classes {
-		k.Threads = max(1, k.Threads)
+		k = k.whole()
 		if i, ok := c.classOf[k.Name]; ok && reflect.DeepEqual(c.classes[i].Class, k) {
 			continue
 		}
