Count over whole runs what is sent on for clients that have left, or after a shutdown

The referee of the stand-ins now judges it, and that a request has one attempt out where second copies are forbidden; make measure-rare plays a broker with faults, clients that leave by KILL QUERY, close and reset, a planned restart, and clients that rest until the broker ends them and ask then.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD = $(shell sed -n 's/^build = "\(.*\)".*$$/\1/p' deploy/balancer.toml)
 RUN = $(shell sed -n 's/^run = "\(.*\)".*$$/\1/p' deploy/balancer.toml)
 
-.PHONY: build demo test lint run standing measure-telemetry measure-config measure-operator measure-fleet
+.PHONY: build demo test lint run standing measure-telemetry measure-config measure-operator measure-fleet measure-rare
 
 build:
 	$(BUILD)
@@ -34,6 +34,11 @@
 measure-operator:
 	go run ./measure/operator
 
+# Requests sent on for clients that have left, or after a shutdown, over runs on loopback with faults.
+measure-rare:
+	go run ./measure/rare
+	go run ./measure/rare -copies=false -cancel=false -busy
+
 measure-config:
 	go run ./measure/config
 
--- a/internal/standin/referee/referee.go
+++ b/internal/standin/referee/referee.go
@@ -16,6 +16,8 @@
 	DrainGrace time.Duration // nothing new goes to an engine so long after its drain was told
 	Slack      time.Duration // what sockets and clocks add to each time
 	MostTries  int           // attempts of a request
+	LeaveGrace time.Duration // nothing of a request goes to an engine so long after its client has left; 0: not judged
+	OneOut     bool          // a request has one attempt out at a time
 }
 
 // Outcome is how a request ended at its client.
@@ -118,6 +120,8 @@
 	Requests int
 	Outcomes map[Outcome]int
 	Attempts int
+	Waited   int // requests that had not been sent on when their clients left
+	SentLate int // of these, those that were sent on after the grace
 	Breaches []string
 }
 
@@ -146,9 +150,54 @@
 	}
 	r.judgeRuns(breach)
 	r.judgeOrder(breach)
+	r.judgeLeaving(&v, breach)
+	if r.rules.OneOut {
+		r.judgeCopies(breach)
+	}
 	return v
 }
 
+// judgeLeaving looks at requests whose clients left before they were sent on.
+func (r *Referee) judgeLeaving(v *Verdict, breach func(string, ...any)) {
+	if r.rules.LeaveGrace <= 0 {
+		return
+	}
+	first := map[string]time.Time{}
+	for _, n := range r.runs {
+		if at, known := first[n.ref]; !known || n.from.Before(at) {
+			first[n.ref] = n.from
+		}
+	}
+	for _, ref := range slices.Sorted(maps.Keys(r.requests)) {
+		q := r.requests[ref]
+		from, sent := first[ref]
+		if q.Out != Left || sent && !from.After(q.Ended) {
+			continue
+		}
+		v.Waited++
+		if late := from.Sub(q.Ended); sent && late > r.rules.LeaveGrace {
+			v.SentLate++
+			breach("request %s of %s was sent on %v after its client had left", ref, q.Class, late)
+		}
+	}
+}
+
+// judgeCopies looks for requests with two attempts out at once.
+func (r *Referee) judgeCopies(breach func(string, ...any)) {
+	of := map[string][]*run{}
+	for _, n := range r.runs {
+		of[n.ref] = append(of[n.ref], n)
+	}
+	for _, ref := range slices.Sorted(maps.Keys(of)) {
+		runs := slices.SortedFunc(slices.Values(of[ref]), func(a, b *run) int { return a.from.Compare(b.from) })
+		for i, b := range runs[1:] {
+			if a := runs[i]; a.to.IsZero() || a.to.After(b.from) {
+				breach("request %s was out at %s and %s at once", ref, a.engine, b.engine)
+			}
+		}
+	}
+}
+
 // judgeRuns looks at each attempt by itself and at how many there are.
 func (r *Referee) judgeRuns(breach func(string, ...any)) {
 	tries := map[string]int{}
--- a/internal/standin/referee/referee_test.go
+++ b/internal/standin/referee/referee_test.go
@@ -27,6 +27,7 @@
 	r.Draining("e2", at(200*ms))
 	r.Asked(Request{Ref: "c", Class: "lookup", At: at(300 * ms), Allow: time.Second})
 	r.Wanted("e2", "c", at(600*ms)) // within the grace
+	r.Ended("e2", "c", at(700*ms))
 	r.Answered("c", Failed, at(900*ms))
 	r.InService("e2")
 	r.Wanted("e2", "c", at(1200*ms))
@@ -34,7 +35,7 @@
 }
 
 func judge(plant func(*Referee)) []string {
-	r := New(Rules{DrainGrace: 500 * ms, Slack: 50 * ms, MostTries: 2})
+	r := New(Rules{DrainGrace: 500 * ms, Slack: 50 * ms, MostTries: 2, LeaveGrace: 300 * ms, OneOut: true})
 	good(r)
 	plant(r)
 	return r.Judge(at(2 * time.Second)).Breaches
@@ -62,13 +63,33 @@
 		{"too many attempts", func(r *Referee) {
 			for i := range 3 {
 				r.Wanted("e1", "d", at(time.Duration(1500+i)*ms))
+				r.Ended("e1", "d", at(time.Duration(1500+i)*ms))
 			}
 		}, "3 attempts"},
 		{"a repeat of what may run once", func(r *Referee) {
 			r.Asked(Request{Ref: "x", Once: true, At: at(1500 * ms), Allow: time.Second})
 			r.Wanted("e1", "x", at(1501*ms))
+			r.Ended("e1", "x", at(1550*ms))
 			r.Wanted("e2", "x", at(1600*ms))
 		}, "may run once"},
+		{"sent on though its client has left", func(r *Referee) {
+			r.Asked(Request{Ref: "x", At: at(0), Allow: time.Second})
+			r.Answered("x", Left, at(100*ms))
+			r.Wanted("e1", "x", at(401*ms))
+		}, "x of  was sent on 301ms after"},
+		{"sent on as its client left, or before", func(r *Referee) {
+			for ref, from := range map[string]time.Duration{"x": 399 * ms, "y": 50 * ms} {
+				r.Asked(Request{Ref: ref, At: at(0), Allow: time.Second})
+				r.Answered(ref, Left, at(100*ms))
+				r.Wanted("e1", ref, at(from))
+			}
+		}, ""},
+		{"two attempts out at once", func(r *Referee) {
+			r.Wanted("e1", "d", at(1500*ms))
+			r.Wanted("e3", "d", at(1510*ms))
+			r.Ended("e1", "d", at(1520*ms))
+			r.Ended("e3", "d", at(1530*ms))
+		}, "d was out at e1 and e3 at once"},
 		{"two of a key at once", func(r *Referee) {
 			r.Asked(Request{Ref: "x", Key: "k", At: at(1500 * ms), Allow: time.Second})
 			r.Asked(Request{Ref: "y", Key: "k", At: at(1510 * ms), Allow: time.Second})
