Serve on when nobody reads the log any more; test signals that come before it serves

A write to standard error whose reader has gone ended the process by SIGPIPE: with the log's collector the broker went, and with it all that was in flight. SIGPIPE is ignored now; such lines are lost.

--- a/cmd/wheatlane/main_test.go
+++ b/cmd/wheatlane/main_test.go
@@ -40,12 +40,15 @@
 
 func configure(t *testing.T, path, changelog, settings string) {
 	t.Helper()
-	text := fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","changelog":%q,"settings":%s}`, changelog, settings)
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	if err := os.WriteFile(path, []byte(configuration(changelog, settings)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 }
 
+func configuration(changelog, settings string) string {
+	return fmt.Sprintf(`{"name":"n1","listen":"127.0.0.1:0","changelog":%q,"settings":%s}`, changelog, settings)
+}
+
 const patience = 20 * time.Second // a test that waits so long has failed
 
 const some = `{"PeersTotal":1,"Limits":{"MaxAttempts":2},"RequestClasses":[{"Name":"a","Effect":"repeatable","GiveUpNs":1000000000}]}`
@@ -146,6 +149,89 @@
 	}
 }
 
+// Its log has nobody to read it any more: that is no reason to end.
+func TestServesOnWithoutAReaderOfItsLog(t *testing.T) {
+	cmd := program(t, some)
+	logs, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(line(t, bufio.NewScanner(logs), `"listen":"`), `"listen":"`)
+	addr, _, _ := strings.Cut(rest, `"`)
+	logs.Close()
+	for range 3 { // each leaves a line
+		nc, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := nc.Read(make([]byte, 5)); err != nil {
+			t.Errorf("greeting: %v", err)
+		}
+		nc.Close()
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Signals that come before it serves, as it reads its configuration: SIGHUP is kept until then, and SIGTERM ends it,
+// having taken nothing.
+func TestSignalsBeforeItServes(t *testing.T) {
+	for name, sig := range map[string]syscall.Signal{"SIGHUP": syscall.SIGHUP, "SIGTERM": syscall.SIGTERM} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "config.json")
+			if err := syscall.Mkfifo(path, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			cmd := exec.CommandContext(t.Context(), os.Args[0])
+			cmd.Env = append(os.Environ(), "RELAY_CONFIG="+path)
+			logs, err := cmd.StderrPipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := cmd.Start(); err != nil {
+				t.Fatal(err)
+			}
+			pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // once it reads
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := cmd.Process.Signal(sig); err != nil {
+				t.Fatal(err)
+			}
+			lines := bufio.NewScanner(logs)
+			if sig == syscall.SIGTERM {
+				for lines.Scan() {
+					t.Errorf("it logs %s", lines.Text())
+				}
+				cmd.Wait() //nolint:errcheck // ended by the signal
+				return
+			}
+			if _, err := pipe.WriteString(configuration("127.0.0.1:1", some)); err != nil {
+				t.Fatal(err)
+			}
+			pipe.Close()
+			line(t, lines, "serving")
+			configure(t, path, "127.0.0.1:2", some) // once it is read again
+			line(t, lines, "reloaded")
+			if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			for lines.Scan() { // to the end of the log
+			}
+			if err := cmd.Wait(); err != nil {
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
 // line reads the log up to a line that holds a text.
 func line(t *testing.T, logs *bufio.Scanner, text string) string {
 	t.Helper()
--- a/cmd/wheatlane/serve.go
+++ b/cmd/wheatlane/serve.go
@@ -51,6 +51,9 @@
 	// Guards against a SIGHUP that ends the program, as it does one that takes no notice of it.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	// Guards against the end of the process with that of whoever reads its log: a write to standard error that nobody reads
+	// any more would end it.
+	signal.Ignore(syscall.SIGPIPE)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
