--- a/internal/node/reason.go
+++ b/internal/node/reason.go
@@ -31,7 +31,7 @@
 	BufferFull    Reason = "buffer_full"          // the other side does not take what it is sent
 	WriteTimeout  Reason = "write_timeout"        // a write or what waited for it was overdue
 	Killed        Reason = "killed"               // a client killed it, or it asked too much ahead
-	MadeRoom      Reason = "made_room"            // a client that said nothing, while there were too many
+	MadeRoom      Reason = "made_room"            // it said nothing, or was idle, while there were too many
 	TooMany       Reason = "too_many_connections" // there were too many, and all were busy
 	ConnectFailed Reason = "connect_failed"       // it never came up
 	EngineGone    Reason = "engine_gone"          // its engine left, restarted or lost its address
