--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -285,6 +285,11 @@
 	case b.ending:
 		b.reply(ev.Session, Reply{Kind: Refused, Text: stopping})
 		return true
+	case ev.Request.Allow <= lastWay && ev.Request.Allow < k.Aim:
+		// Guards against a client's last retry, in what little is left of its time, that is never answered: no answer can
+		// come in time but one that leaves now.
+		b.reply(ev.Session, Reply{Kind: Refused, Text: "no time is left"})
+		return true
 	}
 	b.nextID++
 	r := &request{Request: ev.Request, class: k, id: b.nextID, name: strconv.FormatUint(b.nextID, 10), session: ev.Session,
--- a/internal/broker/crossing_test.go
+++ b/internal/broker/crossing_test.go
@@ -286,3 +286,26 @@
 		}
 	}
 }
+
+// A client's last retry may have less time left than the ways take: it is refused at once. Where a class is wanted as soon
+// as that, it is taken.
+func TestNoTimeIsLeft(t *testing.T) {
+	for _, c := range []struct {
+		aim, allow time.Duration
+		kinds      []Kind
+		wants      int
+	}{
+		{400 * ms, lastWay, []Kind{Refused}, 0},
+		{400 * ms, lastWay + 5*ms, nil, 1},
+		{lastWay, lastWay, nil, 1},
+	} {
+		set := settings()
+		set.Classes[0].Aim = c.aim
+		r := newRigOf(t, set, host("e1", "127.0.0.1:1", control.Ready))
+		r.submit(1, "lookup", "", c.allow)
+		r.wantKinds(c.kinds...)
+		if wants := len(of[Want](r.got)); wants != c.wants || r.b.Open() != c.wants {
+			t.Errorf("%+v: %d attempts, %d open", c, wants, r.b.Open())
+		}
+	}
+}
