--- a/internal/broker/crossing_test.go
+++ b/internal/broker/crossing_test.go
@@ -309,3 +309,57 @@
 		}
 	}
 }
+
+// An attempt has ended and its request is about to have another one. Whatever comes in that moment goes first: a client that
+// leaves, an engine that drains, the last answers.
+func TestWhatMeetsARetry(t *testing.T) {
+	drains := Changes{changelog.Page{Seq: 2, Changes: []changelog.Change{{Seq: 2, Hosts: []changelog.Host{
+		host("e1", "127.0.0.1:1", control.Draining), host("e2", "127.0.0.1:2", control.Draining)}}}}}
+	for name, c := range map[string]struct {
+		comes   Event
+		wants   int
+		replies []Kind
+	}{
+		"nothing":      {Probed{}, 2, nil},
+		"client left":  {SessionClosed{1}, 1, nil},
+		"killed":       {Kill{By: 2, Target: 1}, 1, []Kind{Done, Interrupted}},
+		"drains":       {drains, 1, nil},
+		"last answers": {Parting{}, 1, []Kind{Refused}},
+	} {
+		for _, first := range []bool{true, false} { // which of the two comes first
+			r := newRig(t, host("e1", "127.0.0.1:1", control.Ready), host("e2", "127.0.0.1:2", control.Ready))
+			r.submit(1, "lookup", "", 10*time.Second)
+			events := []Event{c.comes, Ended{Attempt: of[Want](r.got)[0].Attempt, Status: control.ConnectFailed}}
+			if !first {
+				events[0], events[1] = events[1], events[0]
+			}
+			r.apply(events...)
+			r.run(100 * ms)
+			if wants := len(of[Want](r.got)); wants != c.wants {
+				t.Errorf("%s, ahead %v: %d attempts, want %d", name, first, wants, c.wants)
+			}
+			r.wantKinds(c.replies...)
+		}
+	}
+}
+
+// A request that waits for its key as the last answers are given was never sent on: it is refused, and stays unsent though
+// the one before it ends then.
+func TestTheLastAnswersTakeWhatWaitsForItsKey(t *testing.T) {
+	r := newRig(t, host("e1", "127.0.0.1:1", control.Ready))
+	r.submit(1, "load", "k", 10*time.Second)
+	r.submit(2, "load", "k", 10*time.Second)
+	r.run(100 * ms)
+	wants := of[Want](r.got)
+	if len(wants) != 1 {
+		t.Fatalf("%d attempts, want the first of the key alone", len(wants))
+	}
+	r.apply(Stop{50 * ms})
+	r.run(60 * ms)
+	r.wantKinds(Refused, Refused) // the first is keyed for all engines
+	r.apply(Ended{Attempt: wants[0].Attempt, Status: control.Cancelled})
+	r.run(time.Second)
+	if len(of[Want](r.got)) != 1 || r.b.Open() != 0 {
+		t.Fatal("the second was sent on after its answer")
+	}
+}
--- a/measure/rare/crowd.go
+++ b/measure/rare/crowd.go
@@ -119,9 +119,12 @@
 	switch c.drawn(3) {
 	case 0:
 		killer, err := c.dial(fmt.Sprintf("KILL QUERY %d", s.id), func(time.Time) {})
-		if err == nil {
-			defer killer.nc.Close()
+		if err != nil { // it is stopping, so the close that follows is all that it hears
+			s.nc.Close()
+			c.judge.Answered(ref, referee.Left, time.Now())
+			return nil
 		}
+		defer killer.nc.Close()
 		c.judge.Answered(ref, referee.Left, time.Now())
 		select {
 		case <-ctx.Done():
@@ -137,7 +140,7 @@
 	return nil
 }
 
-// rest lets clients be served once and rest. Each asks again once its connection is shut, and tells of what it asks. The
+// rest lets clients be answered once and rest. Each asks again once its connection is shut, and tells of what it asks. The
 // function that it returns waits for them.
 func (c *crowd) rest(ctx context.Context, shut func(ref string)) (wait func() error) {
 	var g errgroup.Group
--- a/measure/rare/main.go
+++ b/measure/rare/main.go
@@ -211,6 +211,9 @@
 	for _, b := range v.Breaches {
 		all = append(all, errors.New(b))
 	}
+	if v.Waited == 0 || asked == 0 {
+		all = append(all, errors.New("no client left while its request waited, or none asked after the shutdown: nothing was judged"))
+	}
 	if sent > 0 {
 		all = append(all, fmt.Errorf("%d requests were sent on that were asked after the shutdown", sent))
 	}
