Test a killed broker whose clients come again at once; start the program in tests in one way

The new process serves at the old address and answers the same request once; it held without a mend. The tests of the program repeated how it is started and asked; they share it now. The test of signals ahead of the start could wait without end, and did not look at what ended the program: both are mended.

--- a/cmd/wheatlane/main_test.go
+++ b/cmd/wheatlane/main_test.go
@@ -60,10 +60,9 @@
 	}
 }
 
-// started is a run of the program, its log from where it says that it serves, and a client's connection to it.
-func started(t *testing.T) (*exec.Cmd, *bufio.Scanner, net.Conn) {
+// serving starts the program and waits until it says that it serves: its log, open and by lines from there, and its address.
+func serving(t *testing.T, cmd *exec.Cmd) (logs io.ReadCloser, lines *bufio.Scanner, addr string) {
 	t.Helper()
-	cmd := program(t, some)
 	logs, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -71,15 +70,28 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	lines := bufio.NewScanner(logs)
+	lines = bufio.NewScanner(logs)
 	_, rest, _ := strings.Cut(line(t, lines, `"listen":"`), `"listen":"`)
-	addr, _, _ := strings.Cut(rest, `"`)
+	addr, _, _ = strings.Cut(rest, `"`)
+	return logs, lines, addr
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
 	nc, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { nc.Close() })
-	return cmd, lines, nc
+	return nc
+}
+
+// started is a run of the program, its log from where it says that it serves, and a client's connection to it.
+func started(t *testing.T) (*exec.Cmd, *bufio.Scanner, net.Conn) {
+	t.Helper()
+	cmd := program(t, some)
+	_, lines, addr := serving(t, cmd)
+	return cmd, lines, dial(t, addr)
 }
 
 // It listens by the time it says so, greets a client, and ends with 0 after SIGTERM.
@@ -99,18 +111,18 @@
 	}
 }
 
-// A second SIGTERM and a SIGHUP while the program ends change nothing: what it took is answered, and it ends with 0.
-func TestSignalsWhileItEnds(t *testing.T) {
-	cmd, lines, nc := started(t)
+// asked logs in on a connection and asks once. There is no engine, so the request waits; a ping ahead of it, answered as not
+// ready, says when it was read. What the program says from there is read by next, a packet at a time.
+func asked(t *testing.T, nc net.Conn) (all *bufio.Reader, next func() string) {
+	t.Helper()
 	packet := func(seq byte, payload string) string { return string([]byte{byte(len(payload)), 0, 0, seq}) + payload }
-	// There is no engine, so the request waits; a ping ahead of it says when it was read.
 	const ask = "/* service=a,ref=00000000000000a1,allow=1000 */ SELECT a FROM s_1.t"
 	if _, err := io.WriteString(nc, packet(1, "\x08\x82\x00\x00"+strings.Repeat("\x00", 28)+"app\x00\x00main\x00")+
 		packet(0, "\x0e")+packet(0, "\x03"+ask)); err != nil {
 		t.Fatal(err)
 	}
-	all := bufio.NewReader(nc)
-	next := func() string {
+	all = bufio.NewReader(nc)
+	next = func() string {
 		nc.SetReadDeadline(time.Now().Add(patience))
 		head := make([]byte, 4)
 		if _, err := io.ReadFull(all, head); err != nil {
@@ -127,6 +139,48 @@
 	if p := next(); p[0] != 0xff { // not ready, as there is no engine
 		t.Fatalf("the ping's answer is %q", p)
 	}
+	return all, next
+}
+
+// A broker is killed with a request in flight and started again at its address; its client comes again at once, with the same
+// request, and gets its one answer from what the new process knows.
+func TestAKilledBrokersClientsComeAgain(t *testing.T) {
+	cmd := program(t, some)
+	_, _, addr := serving(t, cmd)
+	nc := dial(t, addr)
+	asked(t, nc)
+	if err := cmd.Process.Kill(); err != nil {
+		t.Fatal(err)
+	}
+	cmd.Wait() //nolint:errcheck // it was killed
+	nc.SetReadDeadline(time.Now().Add(patience))
+	if _, err := nc.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+		t.Fatalf("the killed broker's connection: %v", err)
+	}
+	again := program(t, some)
+	again.Env = append(again.Env, "RELAY_LISTEN="+addr)
+	_, lines, at := serving(t, again)
+	if at != addr {
+		t.Fatalf("it listens at %s, want %s", at, addr)
+	}
+	_, next := asked(t, dial(t, at))
+	if p := next(); p[0] != 0xff || int(p[1])|int(p[2])<<8 != 1226 {
+		t.Fatalf("the request's answer is %q", p)
+	}
+	if err := again.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for lines.Scan() { // to the end of the log
+	}
+	if err := again.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A second SIGTERM and a SIGHUP while the program ends change nothing: what it took is answered, and it ends with 0.
+func TestSignalsWhileItEnds(t *testing.T) {
+	cmd, lines, nc := started(t)
+	all, next := asked(t, nc)
 	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
 		if err := cmd.Process.Signal(sig); err != nil {
 			t.Fatal(err)
@@ -152,15 +206,7 @@
 // Its log has nobody to read it any more: that is no reason to end.
 func TestServesOnWithoutAReaderOfItsLog(t *testing.T) {
 	cmd := program(t, some)
-	logs, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	_, rest, _ := strings.Cut(line(t, bufio.NewScanner(logs), `"listen":"`), `"listen":"`)
-	addr, _, _ := strings.Cut(rest, `"`)
+	logs, _, addr := serving(t, cmd)
 	logs.Close()
 	for range 3 { // each leaves a line
 		nc, err := net.Dial("tcp", addr)
@@ -198,10 +244,19 @@
 			if err := cmd.Start(); err != nil {
 				t.Fatal(err)
 			}
+			// Guards against a wait without end here: both ends of the pipe open, and the program gone.
+			late := time.AfterFunc(patience, func() {
+				cmd.Process.Kill()
+				if end, err := os.OpenFile(path, os.O_RDWR, 0); err == nil {
+					defer end.Close()
+				}
+			})
+			defer late.Stop()
 			pipe, err := os.OpenFile(path, os.O_WRONLY, 0) // once it reads
 			if err != nil {
 				t.Fatal(err)
 			}
+			defer pipe.Close()
 			if err := cmd.Process.Signal(sig); err != nil {
 				t.Fatal(err)
 			}
@@ -210,7 +265,10 @@
 				for lines.Scan() {
 					t.Errorf("it logs %s", lines.Text())
 				}
-				cmd.Wait() //nolint:errcheck // ended by the signal
+				cmd.Wait() //nolint:errcheck // what ended it is looked at
+				if by := cmd.ProcessState.Sys().(syscall.WaitStatus).Signal(); by != syscall.SIGTERM {
+					t.Errorf("it was ended by %v", by)
+				}
 				return
 			}
 			if _, err := pipe.WriteString(configuration("127.0.0.1:1", some)); err != nil {
