--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -395,3 +396,112 @@
 		t.Fatalf("four empty answers took %v, and the pauses are at least %v", took, least)
 	}
 }
+
+// Whatever an engine answers and however a client goes, the request has one answer or none is owed, the next one is served,
+// and no goroutine and no descriptor is left behind.
+func TestBadInputLeavesNothingBehind(t *testing.T) {
+	e := newEngine(t)
+	s := serve(t, host("e1", e.addr, "in_service", 0))
+	n := 0
+	ask := func() (*customer, said) {
+		n++
+		c := s.dial(query("lookup", n, long, ""))
+		return c, e.next(t, "want")
+	}
+	whole := func(id string) []byte { return resp.Append(nil, id, "OK", "sheets=1", "x\ty\tz\n") }
+	faults := map[string]func(){
+		"ids unknown and known, twice": func() {
+			c, w := ask()
+			w.conn.Write(whole("00000000000000ff"))
+			w.conn.Write(append(whole(w.id()), whole(w.id())...))
+			c.want("rows x|y|z|")
+			c.nc.Close()
+		},
+		"a page ahead of its answer, and then none": func() {
+			c, w := ask()
+			w.reply(w.id(), "ROWS", "sheet=1", "x\ty\tz\n")
+			w.conn.Close()
+			again := e.next(t, "want")
+			again.conn.Write(whole(again.id()))
+			c.want("rows x|y|z|")
+			c.nc.Close()
+		},
+		"an answer that never ends": func() {
+			c, w := ask()
+			stop := make(chan struct{})
+			go func() {
+				defer close(stop)
+				for chunk := []byte("*4\r\n$90000\r\n"); ; chunk = make([]byte, 100) {
+					if _, err := w.conn.Write(chunk); err != nil {
+						return
+					}
+				}
+			}()
+			again := e.next(t, "want")
+			again.conn.Write(whole(again.id()))
+			c.want("rows x|y|z|")
+			next(t, stop, "the end of the connection")
+			c.nc.Close()
+		},
+		"a client that sends much and goes": func() {
+			nc, err := net.Dial("tcp", s.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			nc.Write(loginAs("app"))
+			for range 20 {
+				nc.Write(make([]byte, 64<<10))
+			}
+			nc.Close()
+		},
+		"a client that asks, half asks and resets": func() {
+			c, w := ask()
+			c.nc.Write(packet(0, "\x03SELECT")[:6])
+			c.nc.(*net.TCPConn).SetLinger(0)
+			c.nc.Close()
+			if m := e.next(t, "never_mind"); m.id() != w.id() {
+				t.Fatalf("called off %s", m.id())
+			}
+		},
+	}
+	for cut := range whole("0000000000000000") {
+		faults[fmt.Sprintf("an answer cut after %d bytes", cut)] = func() {
+			c, w := ask()
+			w.conn.Write(whole(w.id())[:cut])
+			w.conn.Close()
+			again := e.next(t, "want")
+			again.conn.Write(whole(again.id()))
+			c.want("rows x|y|z|")
+			c.nc.Close()
+		}
+	}
+	// What is there while nobody asks: the broker's connections to the engine are dropped for the count.
+	count := func() (goroutines, descriptors int) {
+		look(s, func(n *Node) bool { n.pool.drop("e1"); return true })
+		all, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return runtime.NumGoroutine(), len(all)
+	}
+	c, w := ask()
+	w.conn.Write(whole(w.id()))
+	c.want("rows x|y|z|")
+	c.nc.Close()
+	var goroutines, descriptors int
+	until(t, "the first client and connection have gone", func() bool {
+		goroutines, descriptors = count()
+		return look(s, func(n *Node) bool { return len(n.clients) == 0 && n.pool.count == 0 && len(n.slots) == 0 })
+	})
+	for range 200 { // what ends in the background ends
+		g, d := count()
+		goroutines, descriptors = min(goroutines, g), min(descriptors, d)
+	}
+	for name, fault := range faults {
+		fault()
+		until(t, "all is gone after "+name, func() bool {
+			g, d := count()
+			return g <= goroutines && d <= descriptors
+		})
+	}
+}
--- a/internal/node/link.go
+++ b/internal/node/link.go
@@ -188,7 +188,9 @@
 		l.parted = closing
 		l.mu.Unlock()
 		if closing != nil {
-			l.partWith()
+			if closing.Reason != MadeRoom { // it said nothing that could be unread, and its place is wanted
+				l.partWith()
+			}
 			return closing
 		}
 	}
