--- a/review/rig/changelog.go
+++ b/review/rig/changelog.go
@@ -40,9 +40,6 @@
 
 // Changelog is a change log on loopback.
 type Changelog struct {
-	// Answer writes one page as an HTTP response; nil: with Content-Length.
-	Answer func(w http.ResponseWriter, r *http.Request, page []byte)
-
 	listener net.Listener
 	mu       sync.Mutex
 	events   []event
@@ -106,10 +103,6 @@
 		}
 	}
 	page, _ := json.Marshal(c.Since(since))
-	if c.Answer != nil {
-		c.Answer(w, r, page)
-		return
-	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(page)))
 	_, _ = w.Write(page)
--- a/review/rig/engine.go
+++ b/review/rig/engine.go
@@ -57,8 +57,6 @@
 	Handle func(*Attempt)
 
 	listener net.Listener
-	mu       sync.Mutex
-	conns    map[*engineConn]bool
 }
 
 type engineConn struct {
@@ -110,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Engine{ID: id, Handle: handle, listener: listener, conns: map[*engineConn]bool{}}
+	e := &Engine{ID: id, Handle: handle, listener: listener}
 	go e.accept()
 	return e, nil
 }
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -133,21 +132,6 @@
 	}
 }
 
-// MemoryKB returns a figure of /proc/PID/status in KB, as VmRSS or RssAnon.
-func (p *Process) MemoryKB(name string) int {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for _, line := range strings.Split(string(text), "\n") {
-		if rest, ok := strings.CutPrefix(line, name+":"); ok {
-			n, _ := strconv.Atoi(strings.Fields(rest)[0])
-			return n
-		}
-	}
-	return 0
-}
-
 // WaitReady waits until COM_PING is answered with OK.
 func WaitReady(addr string, within time.Duration) error {
 	end := time.Now().Add(within)
