Check at SIGHUP that each class is complete, not the classes taken together

Seen: a complete new file from which the one class with the optional key ByArrival had vanished was rejected, and the broker went on under the old settings: a class that the file made non-idempotent was still retried after a reset. The other way round, a file in which the class that is idempotent with a key lacked KeyScope was accepted, as other classes gave it, and the scope was read as all.

Cause: ValidateReload compared one set of keys for all classes of the running file with one for all classes of the new one. A key was required of nobody in particular: optional keys counted as required once any class had them, and a key that one class lacked was covered by another.

Change: the keys are kept for each class. A class must give the keys of the running class of its name, or, if it is new, those that all running classes give. The keys that the settings format makes optional are never required; KeyScope and WindowNs, which belong to classes that are idempotent with a key, are required as in the running classes of that kind. null or an empty string does not give a key of a class. The latency objective is required in the same way.

TestValidateReload expected a file with no class to be rejected for "settings.RequestClasses[].Effect", a key that no class of it lacks; it is rejected as before, and the error names the list that is empty.

--- /dev/null
+++ b/internal/config/completeness_test.go
@@ -0,0 +1,118 @@
+package config
+
+import (
+	"strings"
+	"testing"
+)
+
+// platformText is a file in the form of the platform, which gives every class all keys that are not optional.
+const platformText = `{"listen":"127.0.0.4:6565","changelog":"127.0.0.1:4222","limits":{"memory_mb":192,"sockets":1024},
+ "$schema":"broker.json","known":{"seq":3,"results":[]},
+ "settings":{"Limits":{"MaxAttempts":4,"Cancel":true},"Rules":{"DrainGraceNs":500000000,"KeyRestNs":0},
+  "Penalties":{"Fleet":0.1,"Probe":0.01},"Domain":{"Grants":true},
+  "Tenants":[{"Name":"t1","Share":0.6},{"Name":"t2","Share":0.4}],
+  "RequestClasses":[` + readClass + "," + loadClass + `]}}`
+
+// Classes of platformText, and one to add to them.
+const (
+	readClass = `{"Name":"read","Effect":"repeatable","KeyScope":"zone","WindowNs":5,"PromiseNs":1,"GiveUpNs":2,` +
+		`"AimStretch":1.5}`
+	loadClass = `{"Name":"load","Effect":"by_key","KeyScope":"zone","WindowNs":5,"PromiseNs":1,"GiveUpNs":2,` +
+		`"ByArrival":true,"AllowedIn":["north"],"AllowedOn":["std"]}`
+	newClass = `{"Name":"new","Effect":"once","KeyScope":"all","WindowNs":5,"PromiseNs":1,"GiveUpNs":2}`
+)
+
+// reloadCase is a file at SIGHUP: changes of the running one, and the error that they cause.
+type reloadCase struct {
+	changes []change
+	want    string // empty: no error
+}
+
+// Guards against a complete file that is rejected at SIGHUP because a class with optional keys has disappeared, and
+// against a broken one that is accepted because another class has the missing key.
+func TestReloadRequiresKeysOfEachClass(t *testing.T) {
+	const missing = ": required key is missing"
+	checkReloads(t, platformText, map[string]reloadCase{
+		"no change":                         {nil, ""},
+		"class with optional keys vanishes": {[]change{{"," + loadClass, ""}, {`"repeatable"`, `"once"`}}, ""},
+		"class without optional keys vanishes": {
+			[]change{{readClass + ",", ""}}, "",
+		},
+		"optional keys of a class vanish": {
+			[]change{{`,"AimStretch":1.5`, ""}, {`,"ByArrival":true`, ""}, {`"AllowedIn":["north"],`, ""}}, "",
+		},
+		"new class without optional keys": {
+			[]change{{readClass, readClass + "," + newClass}}, "",
+		},
+		"all classes renamed": {[]change{{`"read"`, `"a"`}, {`"load"`, `"b"`}}, ""},
+		"scope missing": {
+			[]change{{`"by_key","KeyScope":"zone"`, `"by_key"`}}, "settings.RequestClasses[1].KeyScope" + missing,
+		},
+		"scope empty": {
+			[]change{{`"by_key","KeyScope":"zone"`, `"by_key","KeyScope":""`}}, "settings.RequestClasses[1].KeyScope" + missing,
+		},
+		"scope null": {
+			[]change{{`"by_key","KeyScope":"zone"`, `"by_key","KeyScope":null`}},
+			"settings.RequestClasses[1].KeyScope" + missing,
+		},
+		"scope missing in a class that becomes idempotent with a key": {
+			[]change{{`"repeatable","KeyScope":"zone"`, `"by_key"`}}, "settings.RequestClasses[0].KeyScope" + missing,
+		},
+		"scope missing in the only class": {
+			[]change{{readClass + ",", ""}, {`"by_key","KeyScope":"zone"`, `"by_key"`}},
+			"settings.RequestClasses[0].KeyScope" + missing,
+		},
+		"window missing": {
+			[]change{{`"by_key","KeyScope":"zone","WindowNs":5`, `"by_key","KeyScope":"zone"`}},
+			"settings.RequestClasses[1].WindowNs" + missing,
+		},
+		"window missing in a repeatable class": {
+			[]change{{`"repeatable","KeyScope":"zone","WindowNs":5`, `"repeatable","KeyScope":"zone"`}},
+			"settings.RequestClasses[0].WindowNs" + missing,
+		},
+		"client timeout missing": {
+			[]change{{`,"GiveUpNs":2,"AimStretch":1.5`, `,"AimStretch":1.5`}}, "settings.RequestClasses[0].GiveUpNs" + missing,
+		},
+		"client timeout missing in a new class": {
+			[]change{{readClass, readClass + "," + newClass}, {`"PromiseNs":1,"GiveUpNs":2}`, `"PromiseNs":1}`}},
+			"settings.RequestClasses[1].GiveUpNs" + missing,
+		},
+		"objective 0": {
+			[]change{{`"PromiseNs":1`, `"PromiseNs":0`}}, "settings.RequestClasses[0].PromiseNs: must be greater than 0, got 0",
+		},
+	})
+}
+
+// checkReloads checks what each case's changes of the running file cause.
+func checkReloads(t *testing.T, runningText string, cases map[string]reloadCase) {
+	t.Helper()
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) { checkReload(t, runningText, c) })
+	}
+}
+
+func checkReload(t *testing.T, runningText string, c reloadCase) {
+	t.Helper()
+	running, err := load(t, runningText, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := runningText
+	for _, change := range c.changes {
+		if !strings.Contains(text, change.from) {
+			t.Fatalf("the file does not contain %q", change.from)
+		}
+		text = change.apply(text)
+	}
+	next, err := load(t, text, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := ""
+	if err := next.ValidateReload(running); err != nil {
+		got = err.Error()
+	}
+	if got != c.want {
+		t.Errorf("got error %q, want %q", got, c.want)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,7 +26,7 @@
 	MaxDescriptors   int            // limit of open file descriptors
 	InitialEndpoints changelog.Page // endpoint list at startup
 	Settings         Settings
-	Keys             []string // paths of the keys in the file, sorted
+	given            givenKeys // by the file, for ValidateReload
 }
 
 // Environment variables. All but RELAY_CONFIG override values of the file.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -79,7 +79,7 @@
 	if cfg.Settings, err = DecodeSettings(file.Settings); err != nil {
 		return cfg, err
 	}
-	cfg.Keys = keyPaths(text)
+	cfg.given = keysOf(text)
 	return cfg, cfg.checkGossip()
 }
 
--- a/internal/config/golden_test.go
+++ b/internal/config/golden_test.go
@@ -137,7 +137,7 @@
 		if err != nil {
 			return []string{"rejected"}
 		}
-		c.Keys = nil // covered by TestParsedValues
+		c.given = givenKeys{} // covered by TestParsedValues
 		return values(reflect.ValueOf(c))
 	}
 	var doc any
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -1,10 +1,8 @@
 package config
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
 	"reflect"
 	"slices"
 
@@ -35,72 +33,50 @@
 	return keys
 }
 
-// ValidateReload checks that c, a configuration that was read at SIGHUP, may replace the running one. It must contain
-// every key of the running one, and a limit of attempts greater than 0. Each class must have a client timeout, and a
-// latency objective if all running classes have one. The error names the key at fault.
+// ValidateReload checks that c, a configuration that was read at SIGHUP, may replace the running one: it is complete
+// and every class that it gives a client timeout, or the limit of attempts that it gives, has a value greater than 0.
+// Each class must have a latency objective if the running class of its name has one or, for a new class, all running
+// classes have one. The error names the key at fault.
 func (c Config) ValidateReload(running Config) error {
-	present := map[string]bool{}
-	for _, key := range c.Keys {
-		present[key] = true
-	}
-	for _, key := range running.Keys {
-		if !present[key] {
-			return keyError(key, errMissing)
-		}
+	if err := c.checkComplete(running); err != nil {
+		return err
 	}
-	if err := checkClasses(c.Settings.Control.Classes, running.Settings.Control.Classes); err != nil {
+	if err := c.checkClasses(running.Settings.Control.Classes); err != nil {
 		return err
 	}
 	if attempts := c.Settings.Control.Limits.MaxAttempts; attempts <= 0 {
-		return keyError("settings.Limits.MaxAttempts", fmt.Errorf("must be greater than 0, got %d", attempts))
+		return notPositive("settings.Limits.MaxAttempts", attempts)
 	}
 	return nil
 }
 
-// checkClasses validates classes that are to replace the running ones.
-func checkClasses(classes, running []control.Class) error {
+// checkClasses validates the values of classes that are to replace the running ones.
+func (c Config) checkClasses(running []control.Class) error {
+	classes := c.Settings.Control.Classes
 	if len(classes) == 0 {
 		return keyError("settings.RequestClasses", errors.New("must have at least one class, got none"))
 	}
-	lacksObjective := func(class control.Class) bool { return class.LatencyObjective <= 0 }
-	objectiveRequired := !slices.ContainsFunc(running, lacksObjective)
 	for i, class := range classes {
 		if class.ClientTimeout <= 0 {
-			return keyError(classPath(i)+".GiveUpNs", fmt.Errorf("must be greater than 0, got %d", class.ClientTimeout))
+			return notPositive(classPath(i)+".GiveUpNs", class.ClientTimeout.Nanoseconds())
 		}
-		if class.LatencyObjective < 0 || objectiveRequired && class.LatencyObjective == 0 {
-			return keyError(classPath(i)+".PromiseNs", fmt.Errorf("must be greater than 0, got %d", class.LatencyObjective))
+		if class.LatencyObjective < 0 || class.LatencyObjective == 0 && requiresObjective(class.Name, running) {
+			return notPositive(classPath(i)+".PromiseNs", class.LatencyObjective.Nanoseconds())
 		}
 	}
 	return nil
 }
 
-// keyPaths returns the paths of the keys in a file, down to those of the limits and of the classes, so that a reload
-// can name a key that has disappeared. A key of any class has one path for all: "settings.RequestClasses[].GiveUpNs".
-func keyPaths(text []byte) []string {
-	var file, settings map[string]json.RawMessage
-	if json.Unmarshal(text, &file) != nil || json.Unmarshal(file["settings"], &settings) != nil {
-		return nil
+// requiresObjective reports whether a class must have a latency objective to replace the running classes.
+func requiresObjective(name string, running []control.Class) bool {
+	references := slices.DeleteFunc(slices.Clone(running), func(class control.Class) bool { return class.Name != name })
+	if len(references) == 0 {
+		references = running
 	}
-	var nested struct {
-		RequestClasses []map[string]json.RawMessage
-		Limits         map[string]json.RawMessage
-	}
-	// DecodeSettings has decoded the settings before and reported values that can't be decoded.
-	_ = json.Unmarshal(file["settings"], &nested)
-	paths := map[string]bool{}
-	addKeys(paths, "", file)
-	addKeys(paths, "settings.", settings)
-	addKeys(paths, "settings.Limits.", nested.Limits)
-	for _, class := range nested.RequestClasses {
-		addKeys(paths, "settings.RequestClasses[].", class)
-	}
-	return slices.Sorted(maps.Keys(paths))
+	return !slices.ContainsFunc(references, func(class control.Class) bool { return class.LatencyObjective <= 0 })
 }
 
-// addKeys adds the keys of a JSON object to paths, each with the prefix.
-func addKeys(paths map[string]bool, prefix string, object map[string]json.RawMessage) {
-	for key := range object {
-		paths[prefix+key] = true
-	}
+// notPositive returns an error about a value that must be greater than 0.
+func notPositive[T int | int64](key string, value T) error {
+	return keyError(key, fmt.Errorf("must be greater than 0, got %d", value))
 }
--- a/internal/config/reload_test.go
+++ b/internal/config/reload_test.go
@@ -61,7 +61,7 @@
 		"endpoint list missing": {change{`"known"`, `"unknown"`}, "known" + missing},
 		"no classes": {
 			change{`[{"Name":"a","Effect":"repeatable","GiveUpNs":2000000000}]`, `[]`},
-			"settings.RequestClasses[].Effect" + missing,
+			"settings.RequestClasses: must have at least one class, got none",
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -42,6 +42,7 @@
 const (
 	keyIdempotency = "Effect"
 	keyDedupScope  = "KeyScope"
+	keyDedupWindow = "WindowNs"
 )
 
 // idempotencies maps values of Effect.
