Require at SIGHUP the keys of nested settings and of each tenant

A key with the value null counted as given. A file without the note on its origin that `config write` puts into it ($made) was rejected.

The check for missing keys had a fixed list of three objects that it looked into, and of what is below them it knew only that a key exists somewhere.

Change: the keys of all objects of a file are compared, tenant by tenant like classes. Keys that the settings format words as optional or given on some sites only are never required; neither are annotations, which begin with $.

--- a/internal/config/completeness.go
+++ b/internal/config/completeness.go
@@ -6,6 +6,15 @@
 	"wheatlane/control/idempotency"
 )
 
+// optionalPaths holds the keys outside of lists that a complete file may omit: the settings format makes them optional.
+var optionalPaths = map[string]bool{
+	"settings.Penalties.Fleet":    true,
+	"settings.Rules.BudgetSpanNs": true,
+	"settings.Rules.ExtraFree":    true,
+	"settings.Rules.FurtherRatio": true,
+	"settings.Rules.KeyRestNs":    true,
+}
+
 // optionalClassKeys holds the keys of a class that the settings format makes optional.
 var optionalClassKeys = map[string]bool{
 	"AimStretch": true,
@@ -20,14 +29,14 @@
 	keyDedupWindow: true,
 }
 
-// item is a class with the keys that its file gives for it.
+// item is a class or tenant with the keys that its file gives for it.
 type item struct {
 	name string
-	kind idempotency.Kind
+	kind idempotency.Kind // of a class
 	keys keySet
 }
 
-// isIdempotentWithKey reports whether a class is idempotent with a key.
+// isIdempotentWithKey reports whether an item is a class that is idempotent with a key.
 func (i item) isIdempotentWithKey() bool { return i.kind == idempotency.IdempotentWithKey }
 
 // classes returns the classes of a configuration with their keys.
@@ -39,31 +48,47 @@
 	return all
 }
 
+// tenants returns the tenants of a configuration with their keys.
+func (c Config) tenants() []item {
+	all := make([]item, 0, len(c.given.tenants))
+	for i, tenant := range c.Settings.Control.Tenants {
+		all = append(all, item{name: tenant.Name, keys: elementOrZero(c.given.tenants, i)})
+	}
+	return all
+}
+
 // checkComplete checks that c gives all keys that the file of the running configuration gives, apart from optional
-// ones. Classes may be added and removed, so those of c are checked one by one, against the running ones that they are
-// comparable with.
+// ones. Classes and tenants may be added and removed, so those of c are checked one by one.
 func (c Config) checkComplete(running Config) error {
 	for _, path := range running.given.paths {
-		if !c.given.paths.has(path) {
+		if !optionalPaths[path] && !c.given.paths.has(path) {
 			return keyError(path, errMissing)
 		}
 	}
 	for i, class := range c.classes() {
-		if key := missingKey(class, running.classes()); key != "" {
+		if key := missingKey(class, running.classes(), referenceClasses); key != "" {
 			return keyError(classPath(i)+"."+key, errMissing)
 		}
 	}
+	for i, tenant := range c.tenants() {
+		if key := missingKey(tenant, running.tenants(), referenceTenants); key != "" {
+			return keyError(tenantPath(i)+"."+key, errMissing)
+		}
+	}
 	return nil
 }
 
-// missingKey returns the first key that an item lacks although all running items that it is comparable with have it. It
-// returns the empty string if the item is complete.
-func missingKey(candidate item, running []item) string {
+// referenceFunc returns the running items that show whether an item must give a key: it must if all of them do.
+type referenceFunc func(key string, candidate item, running []item) []item
+
+// missingKey returns the first key that an item lacks although all its references give it. It returns the empty string
+// if the item is complete.
+func missingKey(candidate item, running []item, referencesFor referenceFunc) string {
 	for _, key := range keysOfAny(running) {
 		if candidate.keys.has(key) || optionalClassKeys[key] {
 			continue
 		}
-		references := comparableClasses(key, candidate, running)
+		references := referencesFor(key, candidate, running)
 		lacksKey := func(reference item) bool { return !reference.keys.has(key) }
 		if len(references) > 0 && !slices.ContainsFunc(references, lacksKey) {
 			return key
@@ -72,9 +97,9 @@
 	return ""
 }
 
-// comparableClasses returns the running classes that show whether a class must give a key: the class of the same name,
-// or all classes if it is new. A key for duplicate detection depends on the idempotency of a class, not on its name.
-func comparableClasses(key string, class item, running []item) []item {
+// referenceClasses returns the running class of the same name, or all classes if the class is new. A key for duplicate
+// detection depends on the idempotency of a class rather than on its name.
+func referenceClasses(key string, class item, running []item) []item {
 	sameName := withName(running, class.name)
 	switch {
 	case !dedupKeys[key]:
@@ -86,6 +111,11 @@
 	}
 }
 
+// referenceTenants returns the running tenant of the same name, or all tenants if the tenant is new.
+func referenceTenants(_ string, tenant item, running []item) []item {
+	return firstNotEmpty(withName(running, tenant.name), running)
+}
+
 // keysOfAny returns the keys that at least one item has, sorted.
 func keysOfAny(items []item) keySet {
 	var keys keySet
--- a/internal/config/completeness_test.go
+++ b/internal/config/completeness_test.go
@@ -83,6 +83,30 @@
 	})
 }
 
+// Guards against a broken file that is accepted at SIGHUP because the missing key is nested in the settings, or belongs
+// to one of several tenants.
+func TestReloadRequiresNestedKeys(t *testing.T) {
+	const missing = ": required key is missing"
+	checkReloads(t, platformText, map[string]reloadCase{
+		"rule":                {[]change{{`"DrainGraceNs":500000000,`, ""}}, "settings.Rules.DrainGraceNs" + missing},
+		"rules":               {[]change{{`"Rules"`, `"Rule"`}}, "settings.Rules" + missing},
+		"optional rule":       {[]change{{`,"KeyRestNs":0`, ""}}, ""},
+		"penalty":             {[]change{{`,"Probe":0.01`, ""}}, "settings.Penalties.Probe" + missing},
+		"optional penalty":    {[]change{{`"Fleet":0.1,`, ""}}, ""},
+		"attribute":           {[]change{{`"Grants":true`, ""}}, "settings.Domain.Grants" + missing},
+		"limit":               {[]change{{`,"Cancel":true`, ""}}, "settings.Limits.Cancel" + missing},
+		"limit of the broker": {[]change{{`,"sockets":1024`, ""}}, "limits.sockets" + missing},
+		"endpoint list":       {[]change{{`"known"`, `"unknown"`}}, "known" + missing},
+		"endpoint list null":  {[]change{{`{"seq":3,"results":[]}`, "null"}}, "known" + missing},
+		"revision":            {[]change{{`"seq":3,`, ""}}, "known.seq" + missing},
+		"annotation":          {[]change{{`"$schema":"broker.json",`, ""}}, ""},
+		"tenant vanishes":     {[]change{{`,{"Name":"t2","Share":0.4}`, ""}}, ""},
+		"tenant appears":      {[]change{{`{"Name":"t2"`, `{"Name":"t3","Share":0.1},{"Name":"t2"`}}, ""},
+		"share of a tenant":   {[]change{{`"t2","Share":0.4`, `"t2"`}}, "settings.Tenants[1].Share" + missing},
+		"name of a tenant":    {[]change{{`"Name":"t1",`, ""}}, "settings.Tenants[0].Name" + missing},
+	})
+}
+
 // checkReloads checks what each case's changes of the running file cause.
 func checkReloads(t *testing.T, runningText string, cases map[string]reloadCase) {
 	t.Helper()
--- a/internal/config/givenkeys.go
+++ b/internal/config/givenkeys.go
@@ -4,15 +4,19 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 )
 
 // Keys of the lists whose items a file describes one by one.
 const (
 	keySettings = "settings"
-	keyLimits   = "Limits"
 	keyClasses  = "RequestClasses"
+	keyTenants  = "Tenants"
 )
 
+// annotationPrefix begins the names of keys that annotate a file for its readers, such as $schema.
+const annotationPrefix = "$"
+
 // keySet is a sorted set of keys.
 type keySet []string
 
@@ -22,27 +26,34 @@
 	return found
 }
 
-// givenKeys holds the keys that a file gives. A key of a class with the value null or an empty string is not given.
+// givenKeys holds the keys that a file gives. A key with the value null is not given, and neither is a key of a class
+// or tenant with an empty string. Annotations are left out.
 type givenKeys struct {
-	paths   keySet   // paths of the keys of the file, the settings and the limits, as in settings.Limits.MaxAttempts
+	paths   keySet   // paths of all keys that are not below a list, as in settings.Limits.MaxAttempts
 	classes []keySet // of each item of settings.RequestClasses
+	tenants []keySet // of each item of settings.Tenants
 }
 
 // keysOf returns the keys that a file gives. text must be a file that parse accepts.
 func keysOf(text []byte) givenKeys {
-	file := objectOf(text)
-	settings := objectOf(file[keySettings])
 	paths := map[string]bool{}
-	addPaths(paths, "", file)
-	addPaths(paths, "settings.", settings)
-	addPaths(paths, "settings.Limits.", objectOf(settings[keyLimits]))
-	return givenKeys{paths: slices.Sorted(maps.Keys(paths)), classes: itemKeys(settings[keyClasses])}
+	addPaths(paths, "", text)
+	settings := objectOf(objectOf(text)[keySettings])
+	return givenKeys{
+		paths:   slices.Sorted(maps.Keys(paths)),
+		classes: itemKeys(settings[keyClasses]),
+		tenants: itemKeys(settings[keyTenants]),
+	}
 }
 
-// addPaths adds the keys of a JSON object, each with the prefix.
-func addPaths(paths map[string]bool, prefix string, object map[string]json.RawMessage) {
-	for key := range object {
+// addPaths adds the paths of the keys of a JSON object, and of the objects in it, each with the prefix.
+func addPaths(paths map[string]bool, prefix string, object []byte) {
+	for key, value := range objectOf(object) {
+		if isNull(value) || strings.HasPrefix(key, annotationPrefix) {
+			continue
+		}
 		paths[prefix+key] = true
+		addPaths(paths, prefix+key+".", value)
 	}
 }
 
@@ -56,7 +67,7 @@
 	for _, item := range items {
 		object := objectOf(item)
 		maps.DeleteFunc(object, func(key string, value json.RawMessage) bool {
-			return isNull(value) || string(value) == `""`
+			return isNull(value) || string(value) == `""` || strings.HasPrefix(key, annotationPrefix)
 		})
 		all = append(all, slices.Sorted(maps.Keys(object)))
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -224,6 +224,9 @@
 // classPath returns the path of the class at a position in RequestClasses.
 func classPath(position int) string { return fmt.Sprintf("settings.RequestClasses[%d]", position) }
 
+// tenantPath returns the path of the tenant at a position in Tenants.
+func tenantPath(position int) string { return fmt.Sprintf("settings.Tenants[%d]", position) }
+
 // decode validates and converts the class at a position in RequestClasses.
 func (c *classObject) decode(domain domainObject, position int) (control.Class, *jsontext.KeyError) {
 	kind, ok := idempotencies[c.Effect]
