Accept at SIGHUP a file that gives no limit of attempts, as at the start

Seen: a file without settings.Limits.MaxAttempts, or with a class without GiveUpNs, serves from the start, but the same file was rejected at every SIGHUP for a key that neither it nor the running one gives ("must be greater than 0, got 0"), so that the broker kept the old address of the change log.

Cause: ValidateReload checked the decoded values, in which a key that is not given is 0, and the decision module applied the default of the limit at the start only: after a reload to 0 it would have sent nothing.

Change: a value is checked where the file gives it; that one given as 0 is rejected stays. The defaults of the limits are applied at the start and at a reload alike.

Before the change TestReloadRequiresNoKeyThatRunningFileOmits failed in 6 of its 11 cases, least.json among them, and TestReloadWithoutMaxAttemptsAllowsOneAttempt failed: 0 sends, 1 wanted. Both pass now.

--- a/control/controller.go
+++ b/control/controller.go
@@ -89,7 +89,7 @@
 		return nil, fmt.Errorf("%w: broker index %d is out of range for %d brokers",
 			ErrInvalidSettings, settings.BrokerIndex, settings.Brokers)
 	}
-	settings.Limits.MaxAttempts = max(1, settings.Limits.MaxAttempts)
+	settings.Limits = settings.Limits.withDefaults()
 	c := &Controller{
 		settings:       settings,
 		rng:            rand.New(rand.NewPCG(seed, rngStream)),
@@ -228,7 +228,7 @@
 			added++
 		}
 	}
-	c.settings.Limits.MaxAttempts = limits.MaxAttempts
+	c.settings.Limits.MaxAttempts = limits.withDefaults().MaxAttempts
 	if added == 0 {
 		return
 	}
--- a/control/eligibility_test.go
+++ b/control/eligibility_test.go
@@ -102,6 +102,19 @@
 	requireEqual(t, "rejections", countOf[Reject](h.advance(300*ms)), 1)
 }
 
+// Guards against a reload after which no request is sent: without a limit of attempts in the file, a request has one, as
+// at the start.
+func TestReloadWithoutMaxAttemptsAllowsOneAttempt(t *testing.T) {
+	s := baseSettings()
+	h := newHarness(t, s, readyEngine("e1"))
+	s.Limits.MaxAttempts = 0
+	h.controller.UpdateClasses(s.Classes, s.Limits)
+	id, got := h.submit("long", h.deadlineIn(20*time.Second))
+	requireEqual(t, "sends", countOf[SendAttempt](got), 1)
+	got = append(h.endAttempt(id, 0, Failed), h.advance(time.Second)...)
+	requireEqual(t, "retries", countOf[SendAttempt](got), 0)
+}
+
 func TestOrderKeyKeepsOrderAndCooldown(t *testing.T) {
 	s := baseSettings()
 	s.Classes[0].Ordered, s.Rules.KeyCooldown = true, 400*ms
--- a/control/settings.go
+++ b/control/settings.go
@@ -59,7 +59,7 @@
 
 // Limits holds the limits of a deployment and the optional operations that it allows.
 type Limits struct {
-	MaxAttempts   int           // attempts per request, including the first; at least 1
+	MaxAttempts   int           // attempts per request, including the first; default 1
 	MaxRetryAfter time.Duration // longest delay that clients accept
 	RetryAfter    bool          // rejections include a delay before a retry
 	Cancellation  bool          // attempts may be cancelled
@@ -68,6 +68,12 @@
 	Gossip        bool          // brokers may send one another load reports
 }
 
+// withDefaults returns the limits with defaults for unset fields: one attempt per request.
+func (limits Limits) withDefaults() Limits {
+	limits.MaxAttempts = max(1, limits.MaxAttempts)
+	return limits
+}
+
 // Rules holds the parameters of a deployment's polling, slow start, order keys and retry budget.
 type Rules struct {
 	MaxPollInterval    time.Duration  // longest time between polls of the endpoint list
--- a/internal/config/completeness_test.go
+++ b/internal/config/completeness_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -22,6 +24,12 @@
 	newClass = `{"Name":"new","Effect":"once","KeyScope":"all","WindowNs":5,"PromiseNs":1,"GiveUpNs":2}`
 )
 
+// sparseText is a file that gives the keys for duplicate detection only where they matter, as config write does, and
+// neither an objective for each class nor a limit of attempts.
+const sparseText = `{"listen":"127.0.0.4:6565","changelog":"127.0.0.1:4222","settings":{"RequestClasses":[
+  {"Name":"read","Effect":"repeatable","GiveUpNs":2},
+  {"Name":"load","Effect":"by_key","WindowNs":5,"PromiseNs":1}]}}`
+
 // reloadCase is a file at SIGHUP: changes of the running one, and the error that they cause.
 type reloadCase struct {
 	changes []change
@@ -107,6 +115,43 @@
 	})
 }
 
+// Guards against a file that serves from the start but is rejected at SIGHUP, for keys that neither it nor the running
+// one gives.
+func TestReloadRequiresNoKeyThatRunningFileOmits(t *testing.T) {
+	checkReloads(t, sparseText, map[string]reloadCase{
+		"no change":             {nil, ""},
+		"changelog":             {[]change{{":4222", ":4223"}}, ""},
+		"class becomes once":    {[]change{{`"by_key","WindowNs":5`, `"once"`}}, ""},
+		"class like the second": {
+			[]change{{`"Name":"read"`, `"Name":"new","Effect":"by_key","WindowNs":5},{"Name":"read"`}}, "",
+		},
+		"window of a new class": {
+			[]change{{`"Name":"read"`, `"Name":"new","Effect":"by_key"},{"Name":"read"`}},
+			"settings.RequestClasses[0].WindowNs: required key is missing",
+		},
+		"client timeout 0": {
+			[]change{{`"GiveUpNs":2`, `"GiveUpNs":0`}},
+			"settings.RequestClasses[0].GiveUpNs: must be greater than 0, got 0",
+		},
+		"attempts 0": {
+			[]change{{`"RequestClasses"`, `"Limits":{"MaxAttempts":0},"RequestClasses"`}},
+			"settings.Limits.MaxAttempts: must be greater than 0, got 0",
+		},
+	})
+	for _, path := range []string{
+		"testdata/every-key.json", "testdata/least.json",
+		"../description/testdata/deploy.broker.golden", "../description/testdata/every-key.broker.golden",
+	} {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			text, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			checkReload(t, string(text), reloadCase{})
+		})
+	}
+}
+
 // checkReloads checks what each case's changes of the running file cause.
 func checkReloads(t *testing.T, runningText string, cases map[string]reloadCase) {
 	t.Helper()
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -33,10 +33,10 @@
 	return keys
 }
 
-// ValidateReload checks that c, a configuration that was read at SIGHUP, may replace the running one: it is complete
-// and every class that it gives a client timeout, or the limit of attempts that it gives, has a value greater than 0.
-// Each class must have a latency objective if the running class of its name has one or, for a new class, all running
-// classes have one. The error names the key at fault.
+// ValidateReload checks that c, a configuration that was read at SIGHUP, may replace the running one: it is complete,
+// and the client timeouts and the limit of attempts that it gives are greater than 0, and so are the latency objectives
+// if the running class of the same name has one or, for a new class, all running classes have one. Keys that neither of
+// the files gives have their defaults, as at the start. The error names the key at fault.
 func (c Config) ValidateReload(running Config) error {
 	if err := c.checkComplete(running); err != nil {
 		return err
@@ -44,8 +44,9 @@
 	if err := c.checkClasses(running.Settings.Control.Classes); err != nil {
 		return err
 	}
-	if attempts := c.Settings.Control.Limits.MaxAttempts; attempts <= 0 {
-		return notPositive("settings.Limits.MaxAttempts", attempts)
+	const maxAttemptsPath = "settings.Limits.MaxAttempts"
+	if attempts := c.Settings.Control.Limits.MaxAttempts; attempts <= 0 && c.given.paths.has(maxAttemptsPath) {
+		return notPositive(maxAttemptsPath, attempts)
 	}
 	return nil
 }
@@ -57,11 +58,12 @@
 		return keyError("settings.RequestClasses", errors.New("must have at least one class, got none"))
 	}
 	for i, class := range classes {
-		if class.ClientTimeout <= 0 {
-			return notPositive(classPath(i)+".GiveUpNs", class.ClientTimeout.Nanoseconds())
+		given := elementOrZero(c.given.classes, i)
+		if class.ClientTimeout <= 0 && given.has(keyClientTimeout) {
+			return notPositive(classPath(i)+"."+keyClientTimeout, class.ClientTimeout.Nanoseconds())
 		}
-		if class.LatencyObjective < 0 || class.LatencyObjective == 0 && requiresObjective(class.Name, running) {
-			return notPositive(classPath(i)+".PromiseNs", class.LatencyObjective.Nanoseconds())
+		if class.LatencyObjective <= 0 && given.has(keyObjective) && requiresObjective(class.Name, running) {
+			return notPositive(classPath(i)+"."+keyObjective, class.LatencyObjective.Nanoseconds())
 		}
 	}
 	return nil
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -40,9 +40,11 @@
 
 // Keys of a class that errors name.
 const (
-	keyIdempotency = "Effect"
-	keyDedupScope  = "KeyScope"
-	keyDedupWindow = "WindowNs"
+	keyIdempotency   = "Effect"
+	keyDedupScope    = "KeyScope"
+	keyDedupWindow   = "WindowNs"
+	keyClientTimeout = "GiveUpNs"
+	keyObjective     = "PromiseNs"
 )
 
 // idempotencies maps values of Effect.
@@ -151,7 +153,7 @@
 	return settings, nil
 }
 
-// checkNotNegative returns an error for the first negative value among those that no other check covers.
+// checkNotNegative returns an error for the first negative value outside of the classes.
 func (o *settingsObject) checkNotNegative() error {
 	for _, field := range []struct {
 		key   string
