Reject negative values of a class at the start, too

Seen: a class with a negative GiveUpNs or PromiseNs was rejected at SIGHUP only, and one with a negative WindowNs or AimStretch nowhere, although the schema and `config check` have 0 as the least value of each.

Cause: the check of negative settings left classes to the check at SIGHUP.

Change: each class is checked as it is decoded, which is at the start and at SIGHUP.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 
 	"wheatlane/control"
@@ -40,11 +41,12 @@
 
 // Keys of a class that errors name.
 const (
-	keyIdempotency   = "Effect"
-	keyDedupScope    = "KeyScope"
-	keyDedupWindow   = "WindowNs"
-	keyClientTimeout = "GiveUpNs"
-	keyObjective     = "PromiseNs"
+	keyIdempotency      = "Effect"
+	keyDedupScope       = "KeyScope"
+	keyDedupWindow      = "WindowNs"
+	keyClientTimeout    = "GiveUpNs"
+	keyObjective        = "PromiseNs"
+	keyObjectivePerWork = "AimStretch"
 )
 
 // idempotencies maps values of Effect.
@@ -243,6 +245,9 @@
 			Key: keyDedupScope, Err: fmt.Errorf("must be all, zone or cell, got %q", c.KeyScope),
 		}
 	}
+	if err := c.checkNotNegative(); err != nil {
+		return control.Class{}, err
+	}
 	return control.Class{
 		Name:             c.Name,
 		LatencyObjective: c.PromiseNs,
@@ -262,6 +267,25 @@
 	}, nil
 }
 
+// checkNotNegative returns an error for the first negative value of a class.
+func (c *classObject) checkNotNegative() *jsontext.KeyError {
+	for _, field := range []struct {
+		key   string
+		value float64
+	}{
+		{keyObjective, float64(c.PromiseNs)},
+		{keyClientTimeout, float64(c.GiveUpNs)},
+		{keyDedupWindow, float64(c.WindowNs)},
+		{keyObjectivePerWork, c.AimStretch},
+	} {
+		if field.value < 0 {
+			text := strconv.FormatFloat(field.value, 'f', -1, 64)
+			return &jsontext.KeyError{Key: field.key, Err: fmt.Errorf("must not be negative, got %s", text)}
+		}
+	}
+	return nil
+}
+
 // elementOrZero returns the element at a position, or the zero value if there are fewer elements.
 func elementOrZero[T any](elements []T, position int) (element T) {
 	if position < len(elements) {
