Take a response of an engine for malformed unless it has all four parts

Seen: an answer whose array length says 3 or 2 in place of 4 reached its client as a complete result without a row. The same held for a further page: a page whose array was one too short took its rows out of the result.

Cause: ParseResponse read a part that is missing as an empty one, the fields as none and the body as an empty page, although an answer always has the four parts ID WORD FIELDS BODY. The length of the array was thereby the one length that nothing checked: a wrong length of a part shows in the line end behind it.

Ruled out: the assembler of pages, which accepts an empty page as it should, since a result may have no rows; and the reader of the connection, which accepts a complete response ahead of malformed bytes, as those say nothing of it. With the parts checked, what is accepted there is complete.

Change: a response with another number of parts is malformed. That ends its connection and the attempt on it, which is retried or failed like others whose connection ends.

Tests that had this reading: "no fields" and "only kind" of TestParseResponse had messages of three and two parts accepted; a response with no fields has four parts, and shorter ones are required to be malformed. Messages of TestStatusOf and TestEventsOfResponses have the missing parts now and check the same as before.

--- a/internal/config/completeness_test.go
+++ b/internal/config/completeness_test.go
@@ -119,9 +119,9 @@
 // one gives.
 func TestReloadRequiresNoKeyThatRunningFileOmits(t *testing.T) {
 	checkReloads(t, sparseText, map[string]reloadCase{
-		"no change":             {nil, ""},
-		"changelog":             {[]change{{":4222", ":4223"}}, ""},
-		"class becomes once":    {[]change{{`"by_key","WindowNs":5`, `"once"`}}, ""},
+		"no change":          {nil, ""},
+		"changelog":          {[]change{{":4222", ":4223"}}, ""},
+		"class becomes once": {[]change{{`"by_key","WindowNs":5`, `"once"`}}, ""},
 		"class like the second": {
 			[]change{{`"Name":"read"`, `"Name":"new","Effect":"by_key","WindowNs":5},{"Name":"read"`}}, "",
 		},
--- a/internal/resp/response.go
+++ b/internal/resp/response.go
@@ -35,12 +35,13 @@
 	"DOWN": Down,
 }
 
-// Indexes of the parts of a response. The last two parts may be missing.
+// Indexes of the parts of a response, which has all of them.
 const (
 	partRequestID = iota
 	partKind
 	partFields
 	partBody
+	responseParts // number of parts
 )
 
 // Names of response fields on the wire.
@@ -70,21 +71,20 @@
 	Body      []byte        // points into the message
 }
 
-// ParseResponse parses the parts of a message as a response. Unknown fields are ignored. Its error wraps ErrMalformed.
+// ParseResponse parses the parts of a message as a response. Unknown fields are ignored. A message without one of the
+// parts is malformed: if the missing part counted as empty, a result could lose its rows. The error wraps ErrMalformed.
 func ParseResponse(parts [][]byte) (Response, error) {
-	if len(parts) <= partKind || len(parts) > partBody+1 {
-		return Response{}, fmt.Errorf("%w: response with %d parts", ErrMalformed, len(parts))
+	if len(parts) != responseParts {
+		return Response{}, fmt.Errorf("%w: response with %d parts, want %d", ErrMalformed, len(parts), responseParts)
 	}
 	response := Response{
 		RequestID: string(parts[partRequestID]), Kind: kindsOnWire[string(parts[partKind])], PageCount: 1,
+		Body: parts[partBody],
 	}
 	if response.Kind == 0 {
 		return response, fmt.Errorf("%w: unknown kind %.20q", ErrMalformed, parts[partKind])
 	}
-	if len(parts) > partBody {
-		response.Body = parts[partBody]
-	}
-	if len(parts) <= partFields || string(parts[partFields]) == noFields || len(parts[partFields]) == 0 {
+	if string(parts[partFields]) == noFields || len(parts[partFields]) == 0 {
 		return response, nil
 	}
 	for field := range strings.SplitSeq(string(parts[partFields]), ",") {
--- a/internal/resp/response_test.go
+++ b/internal/resp/response_test.go
@@ -29,10 +29,16 @@
 			want:  Response{RequestID: "7", Kind: Rows, PageCount: 1, Page: 2, Body: []byte("x")},
 		},
 		"no fields": {
-			parts: []string{"7", "VOID", "-"}, want: Response{RequestID: "7", Kind: Void, PageCount: 1},
+			parts: []string{"7", "VOID", "-", ""}, want: Response{RequestID: "7", Kind: Void, PageCount: 1, Body: []byte{}},
 		},
-		"only kind":          {parts: []string{"7", "BUSY"}, want: Response{RequestID: "7", Kind: Busy, PageCount: 1}},
+		// A part that is missing must not be read as an empty one: the result would lose its rows.
+		"no body":            {parts: []string{"7", "OK", "sheets=1"}, err: ErrMalformed},
+		"page without body":  {parts: []string{"7", "ROWS", "sheet=2"}, err: ErrMalformed},
+		"no fields part":     {parts: []string{"7", "OK"}, err: ErrMalformed},
+		"only kind":          {parts: []string{"7", "BUSY"}, err: ErrMalformed},
 		"one part":           {parts: []string{"7"}, err: ErrMalformed},
+		"no parts":           {parts: []string{}, err: ErrMalformed},
+		"five parts":         {parts: []string{"7", "OK", "sheets=1", "", ""}, err: ErrMalformed},
 		"unknown kind":       {parts: []string{"7", "WHAT", "-", ""}, err: ErrMalformed},
 		"no field value":     {parts: []string{"7", "OK", "sheets", ""}, err: ErrMalformed},
 		"invalid page count": {parts: []string{"7", "OK", "sheets=x", ""}, err: ErrMalformed},
--- a/internal/server/enginepool/responses_test.go
+++ b/internal/server/enginepool/responses_test.go
@@ -27,7 +27,7 @@
 		{"DOWN", control.Failed},
 	} {
 		t.Run(c.kind, func(t *testing.T) {
-			response, err := resp.ParseResponse([][]byte{[]byte("id"), []byte(c.kind)})
+			response, err := resp.ParseResponse([][]byte{[]byte("id"), []byte(c.kind), []byte("-"), {}})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -47,18 +47,18 @@
 		want     broker.Event // nil: a duplicate
 	}{
 		"load probe answered": {
-			[]string{"p7", "UP", "l=util:0.5"},
+			[]string{"p7", "UP", "l=util:0.5", ""},
 			broker.ProbeResult{
 				ProbeID: probeID, Status: control.OK,
 				Report: loadreport.Report{Reported: true, Utilization: 0.5},
 			},
 		},
 		"load probe answered as down": {
-			[]string{"p7", "DOWN"},
+			[]string{"p7", "DOWN", "-", ""},
 			broker.ProbeResult{ProbeID: probeID, Status: control.Failed},
 		},
 		"busy": {
-			[]string{"1", "BUSY"},
+			[]string{"1", "BUSY", "-", ""},
 			broker.AttemptEnded{Attempt: firstAttempt, Status: control.AtCapacity},
 		},
 		"page": {
--- a/internal/server/responses_test.go
+++ b/internal/server/responses_test.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"fmt"
 	"testing"
 
 	"wheatlane/internal/resp"
@@ -67,6 +68,38 @@
 	s.expectEnd(e.addr, netconn.Malformed)
 }
 
+// withArrayLength returns a message of four parts whose array length is another one.
+func withArrayLength(length int, message []byte) []byte {
+	return fmt.Appendf(nil, "*%d%s", length, message[len("*4"):])
+}
+
+// Guards against a response without its last parts, as its array length is too small, that is served as an empty result
+// or page: it ends the connection, and the request is retried.
+func TestResponseWithWrongArrayLengthIsNotServed(t *testing.T) {
+	for _, length := range []int{0, 1, 2, 3, 5, 6} {
+		t.Run(fmt.Sprintf("first page, %d parts", length), func(t *testing.T) {
+			e := newFakeEngine(t)
+			s := startServer(t, inService("e1", e))
+			c := s.connect(statement("lookup", 1, longTimeout, ""))
+			attempt := e.expectAttempt(t)
+			attempt.write(withArrayLength(length, resultMessage(attempt.requestID(), otherRow)))
+			e.expectAttempt(t).replyRows(testRow)
+			c.expect(testRows)
+		})
+		t.Run(fmt.Sprintf("second page, %d parts", length), func(t *testing.T) {
+			e := newFakeEngine(t)
+			s := startServer(t, inService("e1", e))
+			c := s.connect(statement("lookup", 1, longTimeout, ""))
+			attempt := e.expectAttempt(t)
+			attempt.reply(attempt.requestID(), "OK", "sheets=2", otherRow)
+			page := e.expect(t, commandFetchPage)
+			page.write(withArrayLength(length, resp.Append(nil, attempt.requestID(), "ROWS", "sheet=1", otherRow)))
+			e.expectAttempt(t).replyRows(testRow)
+			c.expect(testRows)
+		})
+	}
+}
+
 // A request that reuses the id of an ended request is sent on another connection, so that a late duplicate of the first
 // response does not answer it.
 func TestDuplicateResponseDoesNotAnswerLaterRequest(t *testing.T) {
