Do not serve a result whose response gives no number of pages

Seen: a first page whose fields lack `sheets`, or have it under a misspelled name, reached the client as the complete result, whatever pages there were behind it.

Cause: ParseResponse read the missing number as one page. By the protocol an answer OK gives the number of all pages.

Change: the number is 0 then, which the assembler of pages rejects like any other that can't be: the result is discarded, `result page invalid` is logged, and the request is retried or fails. A page without its number needed no change: it is taken for page 0, which either equals the one that is there or makes the result invalid.

Before the change TestResponseWithoutPageCountIsNotServed failed in all of its four cases (no retry within 20 s).

Tests and transcripts in which an engine answered `OK -` have it answer `OK sheets=1`; in the transcripts nothing but these lines of engines changed. The emulator's test prints 0 pages for answers that have none.

--- a/internal/emulator/engine/server_test.go
+++ b/internal/emulator/engine/server_test.go
@@ -149,30 +149,30 @@
 	b := dial(t, s)
 	t.Run("probes", func(t *testing.T) {
 		b.t = t
-		b.request("t1 UP 0/1", "there", "t1")
-		b.request("t2 UP 0/1", "busy", "t2")
+		b.request("t1 UP 0/0", "there", "t1")
+		b.request("t2 UP 0/0", "busy", "t2")
 	})
 	t.Run("queries", func(t *testing.T) {
 		b.t = t
 		b.request("q1 OK 0/1", "want", "q1", "sort=lookup,patience=100,op=k1", "SELECT 1 FROM chart_7.s")
 		b.request("q2 OK 0/1", "want", "q2", "sort=lookup,patience=100,op=k1", "SELECT 1 FROM chart_7.s") // duplicate key
-		b.request("q3 ERR 0/1", "want", "q3", "sort=odd", "x")
+		b.request("q3 ERR 0/0", "want", "q3", "sort=odd", "x")
 	})
 	t.Run("pages", func(t *testing.T) {
 		b.t = t
 		pages := len(wideClass.Result("q4"))
 		b.request(fmt.Sprintf("q4 OK 0/%d", pages), "want", "q4", "sort=report", "x")
-		b.request("q4 ROWS 1/1", "turn", "q4", "1")
-		b.request("q4 ERR 0/1", "turn", "q4", fmt.Sprint(pages))
+		b.request("q4 ROWS 1/0", "turn", "q4", "1")
+		b.request("q4 ERR 0/0", "turn", "q4", fmt.Sprint(pages))
 		b.send("shut", "q4")
-		b.request("q4 ERR 0/1", "turn", "q4", "1")
+		b.request("q4 ERR 0/0", "turn", "q4", "1")
 	})
 	other := dial(t, s)
 	t.Run("capacity", func(t *testing.T) {
 		b.t, other.t = t, t
 		b.send("want", "q5", "sort=slow", "x")
 		b.send("want", "q6", "sort=slow", "x")
-		b.request("q7 BUSY 0/1", "want", "q7", "sort=slow", "x")
+		b.request("q7 BUSY 0/0", "want", "q7", "sort=slow", "x")
 		b.send("never_mind", "q5") // no answer
 		b.send("hurry", "q6", "3") // no answer
 		b.request("q8 OK 0/1", "want", "q8", "sort=lookup", "x")
--- a/internal/resp/response.go
+++ b/internal/resp/response.go
@@ -63,7 +63,7 @@
 type Response struct {
 	RequestID string
 	Kind      Kind
-	PageCount int           // number of pages of the result, with OK; 1 if the response does not specify it
+	PageCount int           // number of pages of the result, with OK; 0 if the response does not specify it
 	Page      int           // page number, with Rows
 	Work      time.Duration // work that the request took
 	MemoryMB  float64       // memory that the request needed
@@ -78,8 +78,7 @@
 		return Response{}, fmt.Errorf("%w: response with %d parts, want %d", ErrMalformed, len(parts), responseParts)
 	}
 	response := Response{
-		RequestID: string(parts[partRequestID]), Kind: kindsOnWire[string(parts[partKind])], PageCount: 1,
-		Body: parts[partBody],
+		RequestID: string(parts[partRequestID]), Kind: kindsOnWire[string(parts[partKind])], Body: parts[partBody],
 	}
 	if response.Kind == 0 {
 		return response, fmt.Errorf("%w: unknown kind %.20q", ErrMalformed, parts[partKind])
--- a/internal/resp/response_test.go
+++ b/internal/resp/response_test.go
@@ -26,10 +26,17 @@
 		},
 		"page": {
 			parts: []string{"7", "ROWS", "sheet=2", "x"},
-			want:  Response{RequestID: "7", Kind: Rows, PageCount: 1, Page: 2, Body: []byte("x")},
+			want:  Response{RequestID: "7", Kind: Rows, Page: 2, Body: []byte("x")},
 		},
 		"no fields": {
-			parts: []string{"7", "VOID", "-", ""}, want: Response{RequestID: "7", Kind: Void, PageCount: 1, Body: []byte{}},
+			parts: []string{"7", "VOID", "-", ""}, want: Response{RequestID: "7", Kind: Void, Body: []byte{}},
+		},
+		// A missing number of pages must not be read as that of a result of one page.
+		"no page count": {
+			parts: []string{"7", "OK", "-", "x"}, want: Response{RequestID: "7", Kind: OK, Body: []byte("x")},
+		},
+		"other name": {
+			parts: []string{"7", "OK", "sheers=3", "x"}, want: Response{RequestID: "7", Kind: OK, Body: []byte("x")},
 		},
 		// A part that is missing must not be read as an empty one: the result would lose its rows.
 		"no body":            {parts: []string{"7", "OK", "sheets=1"}, err: ErrMalformed},
--- a/internal/server/fakeengine_test.go
+++ b/internal/server/fakeengine_test.go
@@ -15,6 +15,7 @@
 const (
 	commandStart     = "want"
 	commandFetchPage = "turn"
+	commandRelease   = "shut"
 	commandCancel    = "never_mind"
 	commandLoadProbe = "busy"
 	commandLiveness  = "there"
@@ -48,7 +49,7 @@
 func (m engineMessage) reply(parts ...string) { m.write(resp.Append(nil, parts...)) }
 
 // replyOK replies without rows.
-func (m engineMessage) replyOK() { m.reply(m.requestID(), "OK", "-", "") }
+func (m engineMessage) replyOK() { m.reply(m.requestID(), "OK", "sheets=1", "") }
 
 // replyRows replies with a result of one page.
 func (m engineMessage) replyRows(rows string) { m.write(resultMessage(m.requestID(), rows)) }
--- a/internal/server/responses_test.go
+++ b/internal/server/responses_test.go
@@ -63,7 +63,7 @@
 	s := startServer(t, inService("e1", e))
 	c := s.connect(statement("once", 1, longTimeout, "")) // may not be retried
 	attempt := e.expectAttempt(t)
-	attempt.write(append(resp.Append(nil, attempt.requestID(), "OK", "-", testRow), "?"...))
+	attempt.write(append(resp.Append(nil, attempt.requestID(), "OK", "sheets=1", testRow), "?"...))
 	c.expect(testRows)
 	s.expectEnd(e.addr, netconn.Malformed)
 }
@@ -100,6 +100,23 @@
 	}
 }
 
+// Guards against a result that ends with its first page because its response does not give the number of pages: the
+// request is retried.
+func TestResponseWithoutPageCountIsNotServed(t *testing.T) {
+	for _, fields := range []string{"-", "", "toil=5,room=1", "sheers=3"} {
+		t.Run(fields, func(t *testing.T) {
+			e := newFakeEngine(t)
+			s := startServer(t, inService("e1", e))
+			c := s.connect(statement("lookup", 1, longTimeout, ""))
+			attempt := e.expectAttempt(t)
+			attempt.reply(attempt.requestID(), "OK", fields, otherRow)
+			e.expect(t, commandRelease)
+			e.expectAttempt(t).replyRows(testRow)
+			c.expect(testRows)
+		})
+	}
+}
+
 // A request that reuses the id of an ended request is sent on another connection, so that a late duplicate of the first
 // response does not answer it.
 func TestDuplicateResponseDoesNotAnswerLaterRequest(t *testing.T) {
--- a/internal/server/scriptedengine_test.go
+++ b/internal/server/scriptedengine_test.go
@@ -129,7 +129,7 @@
 	received := make(chan message, 1)
 	go func() {
 		m := <-e.messages
-		_, _ = m.conn.Write(append(responseTo(m, "OK", "-", ""), earlier...)) // if this fails, the client's read fails, too
+		_, _ = m.conn.Write(append(responseTo(m, "OK", "sheets=1", ""), earlier...)) // if this fails, the client's read fails, too
 		received <- m
 	}()
 	return received
--- a/internal/server/serving_test.go
+++ b/internal/server/serving_test.go
@@ -121,7 +121,7 @@
 	for i := range 5 {
 		s.serveOn(other, 10+i)
 	}
-	attempt.reply(attempt.requestID(), "OK", "-", "x\ty\tz\n") // a draining engine may finish its attempts
+	attempt.reply(attempt.requestID(), "OK", "sheets=1", "x\ty\tz\n") // a draining engine may finish its attempts
 	a.expect("rows x|y|z|")
 
 	s.publish(pageJSON(3, false, inService("e3", e)), 3)
@@ -249,7 +249,7 @@
 				socktest.Receive(t, e.closed, "the end of the connection to the old process")
 				attempt = e.expectAttempt(t)
 			}
-			attempt.reply(attempt.requestID(), "OK", "-", "x\ty\tz\n")
+			attempt.reply(attempt.requestID(), "OK", "sheets=1", "x\ty\tz\n")
 			a.expect("rows x|y|z|")
 			conns := inLoop(s, func(server *Server) int { return server.pool.Stats().Connections })
 			if conns != 1 || len(e.messages)+len(e.closed) > 0 {
--- a/internal/server/transcript_attempts_test.go
+++ b/internal/server/transcript_attempts_test.go
@@ -119,7 +119,7 @@
 			t.Fatal(err)
 		}
 		if c.retry {
-			e.respond(e.receive("want"), "OK", "-", "")
+			e.respond(e.receive("want"), "OK", "sheets=1", "")
 		}
 		client.result()
 		s.cancel()
@@ -145,7 +145,7 @@
 	client.send(queryPacket(request("lookup", 1, unreachedTimeout, ",replay=op1")))
 	e.receive("want")
 	published.Store(true)
-	other.respond(other.receive("want"), "OK", "-", "")
+	other.respond(other.receive("want"), "OK", "sheets=1", "")
 	client.result()
 	s.cancel()
 	s.finish(netconn.ClientSide, netconn.EngineSide)
--- a/internal/server/transcript_fleet_test.go
+++ b/internal/server/transcript_fleet_test.go
@@ -131,7 +131,7 @@
 
 	o.call("check\n", "vars\n")
 	c.send(queryPacket(request("lookup", 1, unreachedTimeout, "")))
-	e.respond(e.receive("want"), "OK", "-", "")
+	e.respond(e.receive("want"), "OK", "sheets=1", "")
 	c.result()
 	c.send(queryPacket(request("once", 2, unreachedTimeout, "")))
 	e.receive("want")
@@ -143,7 +143,7 @@
 	c.send(queryPacket(request("load", 3, unreachedTimeout, ",replay=op3")))
 	open := e.receive("want")
 	o.call("vars\n")
-	e.respond(open, "OK", "-", "")
+	e.respond(open, "OK", "sheets=1", "")
 	c.result()
 
 	o.call("set-down e1\n", "check\n", "vars\n", "set-down e9\n", "set-up e9\n")
--- a/internal/server/transcript_test.go
+++ b/internal/server/transcript_test.go
@@ -129,7 +129,7 @@
 
 	c.send(queryPacket(request("lookup", 2, unreachedTimeout, ",dup=1"))) // client retry, BUSY at first
 	e.respond(e.receive("want"), "BUSY", "-", "")
-	e.respond(e.receive("want"), "OK", "-", "")
+	e.respond(e.receive("want"), "OK", "sheets=1", "")
 	c.result()
 
 	c.send(queryPacket(request("load", 3, unreachedTimeout, ",replay=op3,lookup=7f3a9c21e0b4d655")))
@@ -156,7 +156,7 @@
 		endpointEntry("e1", e.addr, "in_service"))
 	c := loginClient(tr, "client", s.clientAddr)
 	c.send(queryPacket(request("lookup", 1, unreachedTimeout, ",replay=op1,ram=512")))
-	e.respond(e.receive("want"), "OK", "-", "")
+	e.respond(e.receive("want"), "OK", "sheets=1", "")
 	c.result()
 	tr.check("grants")
 }
@@ -234,14 +234,14 @@
 	a.send(queryPacket(request("lookup", 1, unreachedTimeout, "")))
 	first := e.receive("want")
 	tr.line("# stop")
-	received := e.respondToNextThen(responseTo(first, "OK", "-", ""))
+	received := e.respondToNextThen(responseTo(first, "OK", "sheets=1", ""))
 	close(s.stop)
 	b.send(queryPacket(request("lookup", 2, unreachedTimeout, "")))
 	second := socktest.Receive(t, received, "want at engine")
 	e.record(second, "want")
-	e.recordResponse(second, responseTo(second, "OK", "-", ""))
+	e.recordResponse(second, responseTo(second, "OK", "sheets=1", ""))
 	b.result()
-	e.recordResponse(first, responseTo(first, "OK", "-", ""))
+	e.recordResponse(first, responseTo(first, "OK", "sheets=1", ""))
 	a.result()
 	a.packet()
 	b.packet()
