--- a/internal/server/scriptedengine_test.go
+++ b/internal/server/scriptedengine_test.go
@@ -129,7 +129,8 @@
 	received := make(chan message, 1)
 	go func() {
 		m := <-e.messages
-		_, _ = m.conn.Write(append(responseTo(m, "OK", "sheets=1", ""), earlier...)) // if this fails, the client's read fails, too
+		// If this fails, the client's read fails, too.
+		_, _ = m.conn.Write(append(responseTo(m, "OK", "sheets=1", ""), earlier...))
 		received <- m
 	}()
 	return received
