Reject a page of the change log that lacks its list of events or engines

Cause: a list that is missing was decoded as an empty one. By the protocol a page always has both.

Change: a page with a revision but without `results`, and a change without `hosts`, are invalid.

--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -75,7 +75,9 @@
 // errMissing reports a key that must be present.
 var errMissing = errors.New("required key is missing")
 
-// ParsePage parses a page. Events of unknown kinds are ignored. The error for an invalid value is a *jsontext.KeyError.
+// ParsePage parses a page. Events of unknown kinds are ignored. A page with a revision must have the list of its events,
+// and a change the list of its engines: without it, the events would be lost, or all engines removed. The error for an
+// invalid or missing value is a *jsontext.KeyError.
 func ParsePage(text []byte) (Page, error) {
 	var document pageDocument
 	if err := json.Unmarshal(text, &document); err != nil {
@@ -84,11 +86,17 @@
 		}
 		return Page{}, fmt.Errorf("decode change log page: %w", err)
 	}
+	if document.Changes == nil && document.Revision != 0 {
+		return Page{}, &jsontext.KeyError{Key: "results", Err: errMissing}
+	}
 	page := Page{Revision: document.Revision}
 	for i, listed := range document.Changes {
 		if listed.List == nil {
 			continue
 		}
+		if listed.List.Endpoints == nil {
+			return Page{}, &jsontext.KeyError{Key: fmt.Sprintf("results[%d].fleet.hosts", i), Err: errMissing}
+		}
 		change := Change{Revision: listed.Revision, Snapshot: listed.List.Snapshot}
 		for j, member := range listed.List.Endpoints {
 			endpoint, err := member.endpoint()
--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -39,6 +39,11 @@
 			`{"results":[{"fleet":{"hosts":[{"host":"a","health":"in_service"}]}}]}`, "hosts[0].dial",
 		},
 		"wrong type": {`{"results":7}`, "results"},
+		// A page without its events must not advance the revision, which would lose them.
+		"no events":   {`{"seq":43}`, "results: required key is missing"},
+		"events null": {`{"seq":43,"results":null}`, "results: required key is missing"},
+		// A snapshot without its engines must not remove all of them.
+		"no engines": {`{"seq":43,"results":[{"seq":43,"fleet":{"whole":true}}]}`, "results[0].fleet.hosts: required"},
 		"not JSON":   {`{`, "page"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -68,7 +68,7 @@
 	if err := cfg.checkLimits(); err != nil {
 		return cfg, err
 	}
-	if len(file.Known) > 0 {
+	if len(file.Known) > 0 && !isNull(file.Known) {
 		if cfg.InitialEndpoints, err = changelog.ParsePage(file.Known); err != nil {
 			return cfg, keyError("known", err)
 		}
