--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -75,9 +75,9 @@
 // errMissing reports a key that must be present.
 var errMissing = errors.New("required key is missing")
 
-// ParsePage parses a page. Events of unknown kinds are ignored. A page with a revision must have the list of its events,
-// and a change the list of its engines: without it, the events would be lost, or all engines removed. The error for an
-// invalid or missing value is a *jsontext.KeyError.
+// ParsePage parses a page. Events of unknown kinds are ignored. A page with a revision must have a list of events, and a
+// change a list of engines: without them, events would be lost, or all engines removed. The error for an invalid or
+// missing value is a *jsontext.KeyError.
 func ParsePage(text []byte) (Page, error) {
 	var document pageDocument
 	if err := json.Unmarshal(text, &document); err != nil {
--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -43,7 +43,10 @@
 		"no events":   {`{"seq":43}`, "results: required key is missing"},
 		"events null": {`{"seq":43,"results":null}`, "results: required key is missing"},
 		// A snapshot without its engines must not remove all of them.
-		"no engines": {`{"seq":43,"results":[{"seq":43,"fleet":{"whole":true}}]}`, "results[0].fleet.hosts: required"},
+		"no engines": {
+			`{"seq":43,"results":[{"seq":43,"fleet":{"whole":true}}]}`,
+			"results[0].fleet.hosts: required key is missing",
+		},
 		"not JSON":   {`{`, "page"},
 	} {
 		t.Run(name, func(t *testing.T) {
