--- a/internal/changelog/changelog.go
+++ b/internal/changelog/changelog.go
@@ -75,8 +75,8 @@
 // errMissing reports a key that must be present.
 var errMissing = errors.New("required key is missing")
 
-// ParsePage parses a page. Events of unknown kinds are ignored. A page with a revision must have a list of events, and a
-// change a list of engines: without them, events would be lost, or all engines removed. The error for an invalid or
+// ParsePage parses a page. Events of unknown kinds are ignored. A page with a revision must have a list of events, and
+// a change a list of engines: without them, events would be lost, or all engines removed. The error for an invalid or
 // missing value is a *jsontext.KeyError.
 func ParsePage(text []byte) (Page, error) {
 	var document pageDocument
--- a/internal/changelog/changelog_test.go
+++ b/internal/changelog/changelog_test.go
@@ -47,7 +47,7 @@
 			`{"seq":43,"results":[{"seq":43,"fleet":{"whole":true}}]}`,
 			"results[0].fleet.hosts: required key is missing",
 		},
-		"not JSON":   {`{`, "page"},
+		"not JSON": {`{`, "page"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if _, err := ParsePage([]byte(c.text)); err == nil || !strings.Contains(err.Error(), c.key) {
