Answer an open request before an incomplete message ends its connection

Cause: handleReadError in the frontend ended the connection when a message was not completed in time, without knowing whether a request of the session was open, and the reducer learned of it by the end of the connection.

Change: the timeout is an event of the reducer, which closes the session unless a request is open, like every other close from this side. The message gets another timeout, so that the rest of it is still read if it comes.

Connections of clients that send a part of a message and nothing else end as before (TestSilentClientsAreClosed).

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -77,6 +77,8 @@
 		b.endSession(now, event.Session, EndClientClosed)
 	case SessionHalfClosed:
 		b.halfCloseSession(now, event.Session)
+	case MessageTimedOut:
+		b.closeUnlessBusy(now, event.Session)
 	case FirstPageReceived:
 		b.firstPageReceived(now, event)
 	case PageReceived:
--- a/internal/broker/commands_test.go
+++ b/internal/broker/commands_test.go
@@ -119,6 +119,22 @@
 	h.expectReplies(ReplyRejected, ReplyOK, ReplyRejected, ReplyRejected, ReplyRejected)
 }
 
+// A message that stays incomplete closes its session, but not while a request that came before it is open.
+func TestIncompleteMessageClosesSessionWithoutOpenRequest(t *testing.T) {
+	h := newHarness(t, engine1())
+	h.apply(pipelined(h, 0, time.Second), MessageTimedOut{1})
+	h.expectReplies()
+	if open := h.broker.OpenRequests(); open != 1 {
+		t.Fatalf("%d requests are open, want 1", open)
+	}
+	h.apply(SessionHalfClosed{1}, MessageTimedOut{1}) // of a session that has ended
+	h.apply(MessageTimedOut{2})
+	want := []CloseSession{{2, CloseMessageTimeout}}
+	if diff := cmp.Diff(want, effectsOf[CloseSession](h.effects)); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestNotReadyWithoutEngines(t *testing.T) {
 	h := newHarness(t, endpoint("e1", addr1, control.Draining))
 	h.apply(Ping{1})
--- a/internal/broker/effects.go
+++ b/internal/broker/effects.go
@@ -37,6 +37,7 @@
 	CloseKilled          CloseReason = iota // killed by a client, or too many commands queued
 	CloseEvictedIdle                        // evicted to admit another client at the session limit
 	CloseTooManySessions                    // refused at the session limit, as no session could be evicted
+	CloseMessageTimeout                     // the client did not complete a message in time
 )
 
 // Effects for clients.
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -71,6 +71,9 @@
 	// SessionHalfClosed reports that a client has shut down its write side. The client may have disconnected or may
 	// still read: its requests are stopped but answered, and the connection is closed afterwards.
 	SessionHalfClosed struct{ Session Session }
+	// MessageTimedOut reports that a client has not completed a message in time. It is reported again after each further
+	// timeout until the message is complete or the session closed.
+	MessageTimedOut struct{ Session Session }
 )
 
 // Events of engines.
@@ -146,6 +149,7 @@
 func (ImmediateReply) event()       {}
 func (SessionClosed) event()        {}
 func (SessionHalfClosed) event()    {}
+func (MessageTimedOut) event()      {}
 
 func (FirstPageReceived) event() {}
 func (PageReceived) event()      {}
--- a/internal/broker/sessions.go
+++ b/internal/broker/sessions.go
@@ -119,3 +119,14 @@
 	b.answerAllCommands(now, session, EndClientHalfClosed)
 	b.endSession(now, id, EndClientHalfClosed)
 }
+
+// closeUnlessBusy closes a session whose client has not completed a message in time. A request that came before that
+// message is answered first: its client may have stalled for a moment only.
+func (b *Broker) closeUnlessBusy(now time.Duration, id Session) {
+	session := b.sessions.byID[id]
+	if session == nil || session.openRequest != nil {
+		return
+	}
+	b.closeSession(id, CloseMessageTimeout)
+	b.endSession(now, id, EndClientClosed)
+}
--- a/internal/server/frontend/client.go
+++ b/internal/server/frontend/client.go
@@ -119,7 +119,7 @@
 	case netconn.IsTimeout(err) && !c.loggedIn:
 		return &netconn.EndError{Reason: netconn.LoginTimeout, Err: err}
 	case netconn.IsTimeout(err) && c.messageBegun.Load():
-		return &netconn.EndError{Reason: netconn.ReadTimeout, Err: err}
+		return c.handlePartialMessageTimeout(ctx)
 	case errors.Is(err, io.EOF):
 		return c.handleHalfClose(ctx, err)
 	}
--- a/internal/server/frontend/readtimeout.go
+++ b/internal/server/frontend/readtimeout.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"wheatlane/internal/broker"
 )
 
 const (
@@ -64,3 +66,11 @@
 	}
 	return c.setReadTimeout(time.Until(c.readDeadline))
 }
+
+// handlePartialMessageTimeout reports to the reducer that a message is still incomplete. The reducer closes the session
+// unless a request is open, which it answers first; the message gets another timeout.
+func (c *client) handlePartialMessageTimeout(ctx context.Context) error {
+	c.apply(ctx, broker.MessageTimedOut{Session: c.session})
+	c.lateRead = false
+	return c.setReadTimeout(partialMessageTimeout)
+}
--- a/internal/server/frontend/reply.go
+++ b/internal/server/frontend/reply.go
@@ -30,6 +30,7 @@
 	broker.CloseKilled:          netconn.KilledByClient,
 	broker.CloseEvictedIdle:     netconn.EvictedIdle,
 	broker.CloseTooManySessions: netconn.TooManyConnections,
+	broker.CloseMessageTimeout:  netconn.ReadTimeout,
 }
 
 // Reply sends a reply to its client if the client is still connected. If the client doesn't read its replies and the
