--- a/internal/broker/commands_test.go
+++ b/internal/broker/commands_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"wheatlane/control"
 )
 
