Answer requests before a message that can't be read, or COM_QUIT, ends their connection

Cause: the reader ended the connection by itself, although what it had passed on was not answered.

Change: endInput is the one way in which the reader ends a session at the end of its input: a closed write side, a message that can't be read, or COM_QUIT. The reducer answers all commands in order, the error of the message follows them, and the connection ends once all is sent.

--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -68,8 +68,9 @@
 	}
 	// SessionClosed reports that a client's connection ended.
 	SessionClosed struct{ Session Session }
-	// SessionHalfClosed reports that a client has shut down its write side. The client may have disconnected or may
-	// still read: its requests are stopped but answered, and the connection is closed afterwards.
+	// SessionHalfClosed reports that a client will send no further command: it has shut down its write side or sent a
+	// message after which nothing can be read. It may have disconnected or may still read: its requests are stopped but
+	// answered, and the connection is closed afterwards.
 	SessionHalfClosed struct{ Session Session }
 	// MessageTimedOut reports that a client has not completed a message in time. It is reported again after each further
 	// timeout until the message is complete or the session closed.
--- a/internal/server/frontend/close.go
+++ b/internal/server/frontend/close.go
@@ -9,27 +9,31 @@
 	"wheatlane/internal/server/netconn"
 )
 
-// handleHalfClose ends the connection after the last replies have been sent, because a client that has closed its write
-// side may still read.
+// handleHalfClose ends a session whose client has closed its write side, because it may still read.
 func (c *client) handleHalfClose(ctx context.Context, err error) error {
-	c.post(ctx, func() {
-		c.frontend.events.Apply(broker.SessionHalfClosed{Session: c.session})
-		c.conn.CloseAfterSent(&netconn.EndError{Reason: netconn.PeerClosed})
-	})
-	<-ctx.Done()
-	return err
+	return c.endInput(ctx, &netconn.EndError{Reason: netconn.PeerClosed, Err: err}, nil)
 }
 
 // failProtocol sends an error for a message that can't be parsed and ends the connection, because the messages after it
 // can't be parsed either.
 func (c *client) failProtocol(ctx context.Context, seq byte, code mysql.ErrorCode, err error) error {
-	if _, full := c.conn.Write(mysql.AppendError(nil, seq, code, err.Error())); full != nil {
-		return full
-	}
-	// Bytes that arrive from now on stay unread: the connection ends once the last reply has arrived at the client.
-	c.conn.CloseAfterSent(&netconn.EndError{Reason: netconn.ReasonOf(err), Err: err})
+	lastReply := mysql.AppendError(nil, seq, code, err.Error())
+	return c.endInput(ctx, &netconn.EndError{Reason: netconn.ReasonOf(err), Err: err}, lastReply)
+}
+
+// endInput ends a session whose client will send no further command. All commands that were read are answered, in
+// order; lastReply follows them unless it is empty. Then the connection ends. Bytes that arrive from now on stay
+// unread.
+func (c *client) endInput(ctx context.Context, reason *netconn.EndError, lastReply []byte) error {
+	c.post(ctx, func() {
+		c.frontend.events.Apply(broker.SessionHalfClosed{Session: c.session})
+		if len(lastReply) > 0 {
+			_, _ = c.conn.Write(lastReply) // if the send queue is full, the connection ends without it
+		}
+		c.conn.CloseAfterSent(reason)
+	})
 	<-ctx.Done()
-	return err
+	return reason
 }
 
 // close ends the connection once all commands that were read from it have been answered. It runs in the loop. Only the
--- a/internal/server/frontend/command.go
+++ b/internal/server/frontend/command.go
@@ -18,36 +18,33 @@
 	if len(payload) == 0 {
 		return c.failProtocol(ctx, mysql.ResponseSequence, mysql.CodeMalformedPacket, mysql.ErrMalformed)
 	}
-	event, err := c.parseCommand(mysql.Command(payload[0]), string(payload[1:]), sent)
-	if err != nil {
-		return err
+	command := mysql.Command(payload[0])
+	if command == mysql.ComQuit {
+		return c.endInput(ctx, &netconn.EndError{Reason: netconn.Quit}, nil)
 	}
-	c.apply(ctx, event)
+	c.apply(ctx, c.parseCommand(command, string(payload[1:]), sent))
 	return nil
 }
 
-// parseCommand translates a command into an event of the reducer. An error ends the connection.
-func (c *client) parseCommand(
-	command mysql.Command, text string, sent sendTime,
-) (broker.Event, error) {
+// parseCommand translates a command into an event of the reducer.
+func (c *client) parseCommand(command mysql.Command, text string, sent sendTime) broker.Event {
 	switch command {
-	case mysql.ComQuit:
-		return nil, &netconn.EndError{Reason: netconn.Quit}
 	case mysql.ComPing:
-		return broker.Ping{Session: c.session}, nil
+		return broker.Ping{Session: c.session}
 	case mysql.ComQuery:
-		return c.parseQuery(text, sent), nil
+		return c.parseQuery(text, sent)
 	case mysql.ComResetConnection:
-		return c.immediateReply(broker.ReplyOK, ""), nil
+		return c.immediateReply(broker.ReplyOK, "")
 	case mysql.ComInitDB:
 		if text != loginDatabase {
 			unknown := fmt.Sprintf("unknown database %.40q", text)
-			return c.immediateReply(broker.ReplyUnknownDatabase, unknown), nil
+			return c.immediateReply(broker.ReplyUnknownDatabase, unknown)
 		}
-		return c.immediateReply(broker.ReplyOK, ""), nil
+		return c.immediateReply(broker.ReplyOK, "")
+	case mysql.ComQuit: // handled by handleCommand
 	}
 	unknown := fmt.Sprintf("unknown command %d", byte(command))
-	return c.immediateReply(broker.ReplyUnknownCommand, unknown), nil
+	return c.immediateReply(broker.ReplyUnknownCommand, unknown)
 }
 
 // immediateReply returns the event of a command that the reducer answers with a given reply, in the order of the
