--- a/control/eligibility_test.go
+++ b/control/eligibility_test.go
@@ -102,8 +102,8 @@
 	requireEqual(t, "rejections", countOf[Reject](h.advance(300*ms)), 1)
 }
 
-// Guards against a reload after which no request is sent: without a limit of attempts in the file, a request has one, as
-// at the start.
+// Guards against a reload after which no request is sent: without a limit of attempts in the file, a request has
+// one, as at the start.
 func TestReloadWithoutMaxAttemptsAllowsOneAttempt(t *testing.T) {
 	s := baseSettings()
 	h := newHarness(t, s, readyEngine("e1"))
--- a/internal/server/racetable_test.go
+++ b/internal/server/racetable_test.go
@@ -21,7 +21,7 @@
 	}
 	constantDirs := slices.Concat(packageDirs(t, "."), packageDirs(t, "../broker"))
 	testDirs := slices.Concat(constantDirs, packageDirs(t, "../../control"),
-		[]string{"../handover", "../../cmd/wheatlane"})
+		[]string{"../config", "../handover", "../../cmd/wheatlane"})
 	functions := map[string]bool{}
 	for _, dir := range testDirs {
 		for path, file := range parseDir(t, dir) {
