Let the stalled write of the log's test begin before its queue is filled

Cause: the test's. The writer's goroutine had not been run until 1,419 lines were written, so that its first batch had the report of 395 of them; the rest were dropped during that batch. All are reported, each with the batch that follows.

Change: the test waits until the first line is being written before it writes the others. Its checks are the same.

--- a/internal/asynclog/asynclog_test.go
+++ b/internal/asynclog/asynclog_test.go
@@ -5,15 +5,22 @@
 	"errors"
 	"strings"
 	"testing"
+
+	"wheatlane/internal/socktest"
 )
 
 // blockedWriter blocks all writes until it is released.
 type blockedWriter struct {
+	begun    chan struct{} // receives a value when the first write has begun
 	released chan struct{}
 	got      bytes.Buffer
 }
 
 func (b *blockedWriter) Write(p []byte) (int, error) {
+	select {
+	case b.begun <- struct{}{}:
+	default: // the first write has begun before
+	}
 	<-b.released
 	return b.got.Write(p)
 }
@@ -21,11 +28,14 @@
 // While the reader of the log stalls, no write blocks, lines that don't fit the queue are dropped, and a log line
 // reports their number.
 func TestStalledReaderCausesDroppedLinesButNoBlocking(t *testing.T) {
-	b := &blockedWriter{released: make(chan struct{})}
+	b := &blockedWriter{begun: make(chan struct{}, 1), released: make(chan struct{})}
 	w := New(b)
 	line := []byte(strings.Repeat("x", 1023) + "\n")
 	const lines = 2 * maxQueuedBytes / 1024
-	for range lines {
+	for number := range lines {
+		if number == 1 { // the number of dropped lines is reported with the batch that follows the first line
+			socktest.Receive(t, b.begun, "the write of the first line")
+		}
 		if n, err := w.Write(line); n != len(line) || err != nil {
 			t.Fatalf("write: got %d bytes, error %v, want %d bytes", n, err, len(line))
 		}
