--- a/internal/socktest/socktest.go
+++ b/internal/socktest/socktest.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"runtime"
 	"syscall"
@@ -90,7 +91,10 @@
 	}
 	WaitUntil(t, "the peer has reset the connection", func() bool {
 		reset := false
-		if err := raw.Control(func(fd uintptr) { reset = pendingError(int(fd)) != nil }); err != nil {
+		if err := raw.Control(func(fd uintptr) {
+			pending := pendingError(int(fd))
+			reset = errors.Is(pending, syscall.ECONNRESET) || errors.Is(pending, syscall.EPIPE)
+		}); err != nil {
 			t.Fatal(err)
 		}
 		return reset
