--- a/review/rig2/changelog.go
+++ b/review/rig2/changelog.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -14,11 +13,10 @@
 
 // changelog is a stand-in for the change log.
 type changelog struct {
-	rec        *record
-	addr       string
-	listener   *net.TCPListener
-	accepted   chan net.Conn
-	untilClose bool // the body of each answer ends with the connection
+	rec      *record
+	addr     string
+	listener *net.TCPListener
+	accepted chan net.Conn
 
 	mu      sync.Mutex
 	events  []map[string]any
@@ -165,15 +163,6 @@
 		<-c.there()
 		panic(http.ErrAbortHandler)
 	}
-	if !c.untilClose {
-		w.Header().Set("Content-Type", "application/json")
-		w.Write(body)
-		return
-	}
-	conn, _, err := w.(http.Hijacker).Hijack()
-	if err != nil {
-		return
-	}
-	defer conn.Close()
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nConnection: close\r\n\r\n%s", body)
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(body)
 }
