--- a/review/rig2/reload.go
+++ b/review/rig2/reload.go
@@ -46,13 +46,13 @@
 			l.rec.linef(time.Now(), "SIGHUP %d", i+1)
 		}
 		for end := time.Now().Add(every); time.Now().Before(end) && over < 3; time.Sleep(50 * time.Millisecond) {
-			memory := b.memoryKB("Pss")
+			memory := heldKB([]*broker{b})
 			peak = max(peak, memory)
 			if over++; memory <= limit<<10 {
 				over = 0
 			}
 		}
-		l.rec.say("%d: %d KB, peak %d KB of %d", i+1, b.memoryKB("Pss"), peak, limit<<10)
+		l.rec.say("%d: %d KB, peak %d KB of %d", i+1, heldKB([]*broker{b}), peak, limit<<10)
 		if !b.running() || over >= 3 {
 			break
 		}
