--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -29,6 +31,9 @@
 		fatal(err)
 	}
 	rec := newRecord(os.Args[2])
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() { fatal(<-ended) }()
 	time.AfterFunc(115*time.Second, func() { fatal("not finished after 115 s") })
 	l := &lab{
 		rec: rec, trouble: os.Getenv("TROUBLE") != "0", folder: folder, log: newChangelog(rec),
