Keep the order of a large message that waits for memory or for the large-command lock

Cause: a message that had arrived queued for memory behind messages whose rest never comes, for up to 1 s whatever time its client had left; and a small message of the same key, which needs no memory, passed it. The lock of large commands was taken in any order.

Change: large messages that have arrived, by TCP_INFO, get turns in the order of arrival. The turn replaces the lock and carries the memory of one message, taken off the input share. A request with an order key waits until no large message counts that arrived before. The wait ends when the client's time does.

TestCompleteMessageThatGetsNoMemoryIsRejected withholds the turn as well now: held memory alone no longer delays a complete message, and the rejection that it checks is the same. internal/server, internal/processtest and internal/memorybudget passed with -race.

--- a/internal/memorybudget/pool.go
+++ b/internal/memorybudget/pool.go
@@ -74,6 +74,17 @@
 	return Pause
 }
 
+// Lend admits a holder before those that wait, beyond the capacity if need be, and reports whether it did: not during
+// a pause. The caller limits how many holders have memory in this way at once.
+func (p *Pool[Holder]) Lend(now time.Duration, holder Holder, bytes int) bool {
+	if p.paused {
+		return false
+	}
+	p.waiting.DeleteFunc(func(w wait[Holder]) bool { return w.holder == holder })
+	p.admit(now, holder, bytes)
+	return true
+}
+
 // Release ends the use of memory by a holder, or its wait, and returns the waiting holders that are admitted.
 func (p *Pool[Holder]) Release(now time.Duration, holder Holder) (admitted []Holder) {
 	p.used -= p.holdings[holder].bytes
--- a/internal/memorybudget/shares.go
+++ b/internal/memorybudget/shares.go
@@ -40,6 +40,9 @@
 	SessionBytes = 12 * kilobyte
 	// SmallMessageBytes is the size up to which a message is part of SessionBytes.
 	SmallMessageBytes = 2 * kilobyte
+	// LentInputBytes is the memory of one message of the largest size, lent to one that has arrived while those that
+	// have not use up their share.
+	LentInputBytes = 2 * (64*kilobyte + 4)
 	// QueuedCommandBytes is the memory of a command that is queued behind an open request, without its statement.
 	QueuedCommandBytes = 512
 	// statementCopies is the number of copies of a statement that an open request may hold: its own, and the one that is
@@ -56,7 +59,7 @@
 	RuntimeBytes   int64 // memory limit of the Go runtime
 	Sessions       int   // clients' connections that are not closing
 	Connections    int   // clients' connections, including those that are closing
-	InputBytes     int   // messages larger than SmallMessageBytes that are not complete
+	InputBytes     int   // messages larger than SmallMessageBytes that are not complete, without LentInputBytes
 	StatementBytes int   // statements of open and queued requests, and queued commands
 	OutputBytes    int   // replies that were not sent
 	ResultBytes    int   // pages of results that are not complete
@@ -80,7 +83,7 @@
 		RuntimeBytes:   runtime,
 		Sessions:       sessions - sessions/closingShares,
 		Connections:    sessions,
-		InputBytes:     share(inputFraction),
+		InputBytes:     share(inputFraction) - LentInputBytes,
 		StatementBytes: share(statementFraction),
 		OutputBytes:    share(outputFraction),
 		ResultBytes:    share(resultFraction),
--- a/internal/server/frontend/arrival.go
+++ b/internal/server/frontend/arrival.go
@@ -6,6 +6,8 @@
 
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"wheatlane/internal/server/clock"
 )
 
 // States of a connection whose peer has closed or reset its side (Linux, enum tcp_state).
@@ -26,6 +28,16 @@
 	return time.Duration(info.Last_data_recv) * time.Millisecond
 }
 
+// arrivalOf reports whether all bytes of the client up to a position have arrived, read or not, and when its last bytes
+// did. It reports false if that is not known. Any goroutine may call it.
+func (c *client) arrivalOf(position int64) (at time.Duration, arrived bool) {
+	info := c.frontend.tcpInfo(c.conn.Socket())
+	if info == nil || info.Bytes_received < uint64(position) {
+		return 0, false
+	}
+	return clock.Now() - time.Duration(info.Last_data_recv)*time.Millisecond, true
+}
+
 // hasDeparted reports whether the client has closed or reset its side of the connection, even if bytes that it sent
 // before are still unread.
 func (f *Frontend) hasDeparted(socket net.Conn) bool {
--- a/internal/server/frontend/client.go
+++ b/internal/server/frontend/client.go
@@ -36,7 +36,9 @@
 	emptyFinalReads int       // final reads (finalReads) that found the socket empty
 
 	posted      int64 // number of events posted to the loop
+	received    int64 // number of bytes read from the connection
 	holdsMemory bool  // the receive buffer is larger than memorybudget.SmallMessageBytes
+	hasTurn     bool  // it is the client's turn to pass a large message to the loop
 
 	lastReadAt      time.Duration // when the last read returned bytes; until then when the client was greeted or accepted
 	earliestArrival time.Duration // of these bytes
@@ -50,6 +52,7 @@
 
 	appliedSignal chan struct{} // receives after applied has changed
 	memoryGranted chan struct{} // receives when the client gets the memory that it waits for
+	turnGranted   chan struct{} // receives when it is the turn of the client's large message
 
 	// Owned by the loop.
 	closeReason *netconn.EndError // reason for which the broker closes the connection; nil: it does not
@@ -60,7 +63,7 @@
 func newClient(f *Frontend, session broker.Session, socket net.Conn) *client {
 	return &client{
 		frontend: f, session: session, admitted: make(chan struct{}), memoryGranted: make(chan struct{}, 1),
-		appliedSignal: make(chan struct{}, 1), lastReadAt: clock.Now(),
+		turnGranted: make(chan struct{}, 1), appliedSignal: make(chan struct{}, 1), lastReadAt: clock.Now(),
 		conn: netconn.New(socket, netconn.Options{
 			MaxReceiveBytes: memorybudget.SmallMessageBytes, MaxSendBytes: maxClientSendBytes,
 			UnsentMemory: &f.unsentMemory, WriteThrough: true,
@@ -138,7 +141,7 @@
 		}
 	}
 	calledAt := clock.Now()
-	if err := c.conn.ReadOnce(); err != nil {
+	if err := c.readOnce(); err != nil {
 		return false, c.handleReadError(ctx, err)
 	}
 	c.handling.Store(!c.holdsMemory)
@@ -149,6 +152,14 @@
 	return true, nil
 }
 
+// readOnce reads once from the connection.
+func (c *client) readOnce() error {
+	before := c.conn.Received.Len()
+	err := c.conn.ReadOnce()
+	c.received += int64(c.conn.Received.Len() - before)
+	return err
+}
+
 // handleReadError returns the error that ends the connection, or nil if the reader must continue.
 func (c *client) handleReadError(ctx context.Context, err error) error {
 	switch {
--- a/internal/server/frontend/client_test.go
+++ b/internal/server/frontend/client_test.go
@@ -264,7 +264,8 @@
 		}
 	}
 	invalid := packetBytes(0, "\x03"+strings.Repeat("x", memorybudget.SmallMessageBytes))
-	f.largeCommand.Lock() // another one is handled
+	other, _ := newTestClient(t, f)
+	holdTurn(other) // another one is handled
 	send(invalid)
 	send(packetBytes(0, "\x0e"))
 	count := func(want broker.Event) (n int) {
@@ -279,6 +280,6 @@
 	if count(broker.ImmediateReply{}) > 0 {
 		t.Error("a large command was handled beside another one")
 	}
-	f.largeCommand.Unlock()
+	f.turns.release(other)
 	host.runUntil(t, "the large command is handled", func() bool { return count(broker.ImmediateReply{}) == 1 })
 }
--- a/internal/server/frontend/command.go
+++ b/internal/server/frontend/command.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"wheatlane/internal/broker"
 	"wheatlane/internal/memorybudget"
 	"wheatlane/internal/mysql"
-	"wheatlane/internal/server/clock"
 	"wheatlane/internal/server/netconn"
 )
 
@@ -28,29 +26,18 @@
 	if command == mysql.ComQuit {
 		return c.endInput(ctx, &netconn.EndError{Reason: netconn.Quit}, nil)
 	}
-	if len(payload) <= memorybudget.SmallMessageBytes {
-		c.apply(ctx, c.parseCommand(command, string(payload[1:]), sent))
-		return nil
+	if len(payload) > memorybudget.SmallMessageBytes {
+		return c.handleLargeCommand(ctx, command, payload, sent)
 	}
-	return c.frontend.handleLargeCommand(func() error {
-		c.apply(ctx, c.parseCommand(command, string(payload[1:]), sent))
-		return c.awaitApplied(ctx)
-	})
-}
-
-// maxLargeCommandPause limits the pause after a large command.
-const maxLargeCommandPause = 5 * time.Millisecond
-
-// handleLargeCommand handles large commands one at a time, until the loop has applied them, and pauses after each for
-// as long as it took. Large commands so get half of the time at most, however many clients send them, and the loop and
-// the readers of small commands need not wait for hundreds that are parsed at once.
-func (f *Frontend) handleLargeCommand(handle func() error) error {
-	f.largeCommand.Lock()
-	defer f.largeCommand.Unlock()
-	began := clock.Now()
-	err := handle()
-	time.Sleep(min(clock.Now()-began, maxLargeCommandPause))
-	return err
+	event := c.parseCommand(command, string(payload[1:]), sent)
+	if submit, ok := event.(broker.SubmitRequest); ok && submit.Request.OrderKey != "" {
+		// The key of a large message that arrived before is not known until it is read.
+		if err := c.frontend.turns.awaitEarlier(ctx, c, sent.sentAt); err != nil {
+			return err
+		}
+	}
+	c.apply(ctx, event)
+	return nil
 }
 
 // parseCommand translates a command into an event of the reducer.
--- a/internal/server/frontend/frontend.go
+++ b/internal/server/frontend/frontend.go
@@ -85,7 +85,7 @@
 	rejectSlots    chan struct{} // semaphore for the rejected connections that are still open
 	tcpInfoRefused atomic.Bool   // the system refused TCP_INFO, which was logged
 	input          *inputMemory
-	largeCommand   sync.Mutex   // held while a large command is parsed
+	turns          *messageTurns
 	unsentMemory   atomic.Int64 // memory of all clients' send queues in bytes
 
 	mu         sync.Mutex // guards finalReads and the read deadlines of clients that depend on it
@@ -101,6 +101,7 @@
 		slots:       make(chan struct{}, cfg.MaxConns),
 		rejectSlots: make(chan struct{}, cfg.MaxRejected),
 		input:       newInputMemory(cfg.InputBytes),
+		turns:       newMessageTurns(),
 	}
 }
 
--- a/internal/server/frontend/helpers_test.go
+++ b/internal/server/frontend/helpers_test.go
@@ -108,6 +108,31 @@
 	})
 }
 
+// serveClient reads a new client's commands until the test ends, and returns it and the remote end of its connection.
+func serveClient(t *testing.T, f *Frontend) (c *client, far *net.TCPConn) {
+	t.Helper()
+	c, far = newTestClient(t, f)
+	close(c.admitted)
+	go func() { _ = c.conn.Run(t.Context(), c.read) }()
+	send(t, far, loginPacket())
+	return c, far
+}
+
+// send sends bytes.
+func send(t *testing.T, far *net.TCPConn, bytes []byte) {
+	t.Helper()
+	if _, err := far.Write(bytes); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// holdTurn gives a client the turn of a large message, which it keeps.
+func holdTurn(c *client) {
+	c.frontend.turns.begin(c, 0)
+	c.frontend.turns.arrive(c, 0)
+	<-c.turnGranted
+}
+
 // packetBytes returns a packet of the MySQL protocol.
 func packetBytes(seq byte, payload string) []byte {
 	n := len(payload)
--- a/internal/server/frontend/inputmemory.go
+++ b/internal/server/frontend/inputmemory.go
@@ -15,9 +15,8 @@
 	"wheatlane/internal/server/netconn"
 )
 
-// maxMemoryWait is the time for which a message that has arrived may wait for memory. It is shorter than the timeout of
-// an incomplete message, which would close the connection without an answer.
-const maxMemoryWait = time.Second
+// arrivalPollInterval is the time between two checks whether a message that waits for memory has arrived.
+const arrivalPollInterval = 25 * time.Millisecond
 
 // noInputMemoryText is the reply to a message that has waited for memory for too long.
 const noInputMemoryText = "the broker has no memory for so large a message now"
@@ -71,6 +70,14 @@
 	wake(m.pool.SetPaused(clock.Now(), paused))
 }
 
+// lend grants memory to the client whose turn it is, whatever others hold, and reports whether it did: not while
+// grants are paused. The client holds it no longer than its turn takes.
+func (m *inputMemory) lend(c *client, bytes int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pool.Lend(clock.Now(), c, bytes)
+}
+
 // wake wakes clients that were granted memory.
 func wake(granted []*client) {
 	for _, c := range granted {
@@ -96,17 +103,18 @@
 	}
 }
 
-// growBuffer gets memory for the message that fills the receive buffer. It waits until the memory is granted. If that
-// takes too long although the message has arrived, the message is read without the memory and rejected. The input of a
-// client that has left before it sent the complete message ends instead.
+// growBuffer gets memory for the message that fills the receive buffer. It waits until the memory is granted, or until
+// the message has arrived and it is its turn. If that takes too long, a message that has arrived is read without the
+// memory and rejected. The input of a client that has left before it sent the complete message ends instead.
 func (c *client) growBuffer(ctx context.Context, message int) (rejected bool, err error) {
 	if c.leftWithin(message) {
 		return false, c.handleHalfClose(ctx, io.EOF)
 	}
+	c.frontend.turns.begin(c, c.received-int64(c.conn.Received.Len()-message))
 	switch c.frontend.input.request(c, messageCopies*message) {
 	case memorybudget.Admit:
 	case memorybudget.Pause:
-		granted, err := c.waitForMemory(ctx)
+		granted, err := c.waitForMemory(ctx, messageCopies*message)
 		if err != nil {
 			return false, err
 		}
@@ -146,7 +154,7 @@
 		if err := c.conn.SetReadDeadline(time.Now().Add(lateReadTimeout)); err != nil {
 			return err
 		}
-		if err := c.conn.ReadOnce(); err != nil {
+		if err := c.readOnce(); err != nil {
 			return c.handleReadError(ctx, err)
 		}
 		part := min(rest, c.conn.Received.Len())
@@ -167,22 +175,33 @@
 	return known && c.conn.Received.Len()+unread < message
 }
 
-// waitForMemory waits until the memory that was requested is granted, or for maxMemoryWait if the message has arrived.
-// Meanwhile the timeout of the message runs, and clients that have held memory for long are evicted.
-func (c *client) waitForMemory(ctx context.Context) (granted bool, err error) {
-	retry := time.NewTicker(memorybudget.StallGrace / 2)
-	defer retry.Stop()
-	for began := time.Now(); ; {
-		c.frontend.input.evict()
+// waitForMemory waits until the memory that was requested is granted. Once the message has arrived it waits for its
+// turn as well, in which it gets the memory whatever others hold, and for its maximum delay at most. Meanwhile the
+// timeout of the message runs, and clients that have held memory for long are evicted.
+func (c *client) waitForMemory(ctx context.Context, bytes int) (granted bool, err error) {
+	eviction := time.NewTicker(memorybudget.StallGrace / 2)
+	defer eviction.Stop()
+	poll := time.NewTicker(arrivalPollInterval)
+	defer poll.Stop()
+	c.frontend.input.evict()
+	for {
+		late := c.checkArrival()
+		if c.hasTurn && c.frontend.input.lend(c, bytes) {
+			return true, nil
+		}
+		if late {
+			return false, nil
+		}
 		select {
 		case <-c.memoryGranted:
 			return true, nil
+		case <-c.turnGranted:
+			c.hasTurn = true
+		case <-eviction.C:
+			c.frontend.input.evict()
+		case <-poll.C:
 		case <-ctx.Done():
 			return false, ctx.Err()
-		case <-retry.C:
-		}
-		if time.Since(began) >= maxMemoryWait && c.messageArrived() {
-			return false, nil
 		}
 		if err := c.checkWhileWaiting(ctx); err != nil {
 			return false, err
@@ -190,6 +209,17 @@
 	}
 }
 
+// checkArrival records whether the message at the start of the receive buffer has arrived, and reports whether it has
+// been delayed for as long as it may be.
+func (c *client) checkArrival() (late bool) {
+	if !c.messageArrived() {
+		return false
+	}
+	now := clock.Now()
+	arrivedAt := c.frontend.turns.arrive(c, now-c.frontend.sinceReceived(c.conn.Socket()))
+	return now-arrivedAt >= maxTurnDelay(c.conn.Received.Bytes())
+}
+
 // checkWhileWaiting handles what a read that times out would handle: the end of the connection by the broker, the loss
 // of the memory that is held already, and the timeout of the message.
 func (c *client) checkWhileWaiting(ctx context.Context) error {
@@ -220,7 +250,8 @@
 	c.releaseMemory()
 }
 
-// releaseMemory ends the use of granted memory and a wait for it. The receive buffer must have been shrunk before.
+// releaseMemory ends the use of granted memory, a wait for it, and the turn of the message. The receive buffer must
+// have been shrunk before.
 func (c *client) releaseMemory() {
 	c.holdsMemory = false
 	c.frontend.input.release(c)
@@ -229,6 +260,7 @@
 	default:
 	}
 	c.abandoned.Store(false)
+	c.endTurn()
 }
 
 // abandonMessage makes the reader give up the message that it is receiving.
--- a/internal/server/frontend/inputmemory_test.go
+++ b/internal/server/frontend/inputmemory_test.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// A complete request that waited for memory behind messages that were never completed was closed unanswered after 2 s,
-// and one whose session was evicted meanwhile at once. It is rejected, and a command behind it is handled.
+// A complete request that waited for memory was closed unanswered after 2 s, and one whose session was evicted at once.
+// If its turn does not come in time it is rejected, and a command behind it is handled.
 func TestCompleteMessageThatGetsNoMemoryIsRejected(t *testing.T) {
 	message := packetBytes(0, "\x03"+strings.Repeat("x", 30_000))
 	for name, evict := range map[string]bool{"waits for long": false, "is evicted": true} {
@@ -90,6 +90,7 @@
 			f.LimitMemory(messageCopies*len(message), 0)
 			holder, _ := newTestClient(t, f)
 			f.input.request(holder, messageCopies*len(message)) // all memory is in use
+			holdTurn(holder)
 			c, far := newTestClient(t, f)
 			close(c.admitted)
 			go func() { _ = c.conn.Run(t.Context(), c.read) }() // ends with the test
