Keep the indexes of classes to those in force, however often classes are reloaded

Cause: open requests keep the settings of their class, so a class whose settings changed got a new index, and nothing ended one. The model of the shares takes 72 n^3 bytes for n indexes.

Change: a request keeps its class by reference; the class has a slot with the index. New settings take the slot over, removed classes share one slot while they have requests. The concurrency limit asks for the threads of the request itself. Longest timeouts are kept for names of this and the previous configuration. The share of a class is reported while the class is in force.

--- a/control/admission.go
+++ b/control/admission.go
@@ -17,14 +17,14 @@
 	if c.requests.byID[received.ID] != nil {
 		return
 	}
-	classIndex, known := c.classes.byName[received.Class]
-	if !known {
+	class := c.classes.byName[received.Class]
+	if class == nil {
 		c.emit(Fail{received.ID}) // nothing ran, but a retry would fail too
 		return
 	}
-	class, tenantIndex := c.classes.all[classIndex], c.workload.Tenants().Index(received.Tenant)
-	request := newRequest(received, class, classIndex, tenantIndex, c.now)
-	c.workload.RequestReceived(classIndex, tenantIndex)
+	tenantIndex := c.workload.Tenants().Index(received.Tenant)
+	request := newRequest(received, class, tenantIndex, c.now)
+	c.workload.RequestReceived(request.classIndex(), tenantIndex)
 	c.retryBudget.RequestReceived(c.now)
 	responseDueIn := received.Deadline - c.now - deadlineLeadBatches*c.settings.MinBatchInterval
 	request.dueTimer = c.startTimer(responseDueIn, responseDue{request})
@@ -50,7 +50,7 @@
 	if c.exceedsAdmissionPrice(request) {
 		return true
 	}
-	if c.withinConcurrencyLimit(engine, request.classIndex) {
+	if c.withinConcurrencyLimit(engine, request) {
 		return false
 	}
 	wait, serviceTime := c.backlog(request, engine).Wait(), c.likelyServiceTime(request, engine)
@@ -71,7 +71,7 @@
 
 // backlog returns the work that is queued at an engine ahead of a request.
 func (c *Controller) backlog(request *request, engine *engine) admission.Backlog {
-	queue, classIndex, tenantIndex := &engine.queue, request.classIndex, request.tenantIndex
+	queue, classIndex, tenantIndex := &engine.queue, request.classIndex(), request.tenantIndex
 	return admission.Backlog{
 		All:         units.ThreadSeconds(queue.Work()),
 		Class:       units.ThreadSeconds(queue.ClassWork(classIndex)),
--- a/control/attempts.go
+++ b/control/attempts.go
@@ -66,7 +66,7 @@
 	options := c.attemptOptions.For(attemptoptions.Attempt{
 		NeededMB:          request.class.Cost.MemoryMB(request.EstimatedMemoryMB),
 		EngineMB:          engine.memoryMB,
-		HighestValueClass: request.classIndex == c.workload.Summary().HighestValueClass,
+		HighestValueClass: request.classIndex() == c.workload.Summary().HighestValueClass,
 	})
 	if options.GrantMB != 0 || options.Priority != request.priority {
 		request.priority = options.Priority
--- a/control/controller.go
+++ b/control/controller.go
@@ -111,9 +111,8 @@
 		workload:       workload.New(workload.DefaultConfig(), settings.Tenants, settings.Brokers),
 		shares:         shares.New(shares.DefaultConfig(), shares.Equal(len(settings.Classes))),
 	}
-	for _, class := range settings.Classes {
-		c.classes.add(class.withDefaults(), &c.workload)
-	}
+	c.classes.update(withDefaults(settings.Classes))
+	c.workload.SetClasses(c.classes.estimates(), nil)
 	pooled := poolsEngines(settings, c.classes.maxThreads)
 	c.slowStart = newSlowStart(settings, pooled)
 	if pooled {
@@ -215,25 +214,31 @@
 	}
 }
 
-// UpdateClasses applies the classes and the maximum number of attempts of reloaded settings. A class that is
-// new or whose settings differ gets a new index, so that open requests keep the class under which they were
-// received. A class that is no longer listed remains for its open requests; the broker treats new requests of
-// it as invalid. All other settings keep their values from the start.
+// UpdateClasses applies the classes and the maximum number of attempts of reloaded settings. Open requests keep
+// the class under which they were received: its settings and estimates. A class whose settings differ has new
+// estimates, and the place of the previous one in the shares and queues. All classes that are no longer listed
+// have one place together while they have requests; the broker treats new requests of them as invalid. All
+// other settings keep their values from the start.
 func (c *Controller) UpdateClasses(classes []Class, limits Limits) {
-	added := 0
-	for _, class := range classes {
-		if class = class.withDefaults(); !c.classes.contains(class) {
-			c.classes.add(class, &c.workload)
-			c.shares.AddClass()
-			added++
-		}
-	}
 	c.settings.Limits.MaxAttempts = limits.withDefaults().MaxAttempts
-	if added == 0 {
-		return
+	if indexes, changed := c.classes.update(withDefaults(classes)); changed {
+		c.moveClasses(indexes)
+	}
+}
+
+// moveClasses applies a change of the classes' indexes to the tables by class.
+func (c *Controller) moveClasses(indexes classIndexes) {
+	c.workload.SetClasses(c.classes.estimates(), indexes.previous)
+	c.shares.MoveClasses(indexes.previous)
+	c.endpoints.moveQueues(indexes.current, len(c.classes.all))
+}
+
+func withDefaults(classes []Class) []Class {
+	defaulted := make([]Class, 0, len(classes))
+	for _, class := range classes {
+		defaulted = append(defaulted, class.withDefaults())
 	}
-	c.shares.Restart()
-	c.endpoints.growQueues(len(c.classes.all), c.workload.Tenants().Len())
+	return defaulted
 }
 
 func (c *Controller) emit(action Action) { c.actions = append(c.actions, action) }
--- a/control/dispatch.go
+++ b/control/dispatch.go
@@ -7,6 +7,7 @@
 
 // dispatch sends queued requests in start-tag order while the concurrency limit allows it.
 func (c *Controller) dispatch(engine *engine) {
+	withinLimit := func(first *request) bool { return c.withinConcurrencyLimit(engine, first) }
 	for {
 		request, ok := engine.queue.Head(nil)
 		if !ok {
@@ -19,9 +20,7 @@
 			c.rejectOrFail(request)
 			continue
 		}
-		request, ok = engine.queue.Head(func(classIndex int) bool {
-			return c.withinConcurrencyLimit(engine, classIndex)
-		})
+		request, ok = engine.queue.Head(withinLimit)
 		if !ok {
 			return
 		}
@@ -39,19 +38,20 @@
 	}
 }
 
-// withinConcurrencyLimit reports whether a class's next request may be sent to an engine. The class with the
-// highest priority weight per thread-second may use the whole limit.
-func (c *Controller) withinConcurrencyLimit(engine *engine, classIndex int) bool {
+// withinConcurrencyLimit reports whether a request, the next one of its class, may be sent to an engine. The
+// class with the highest priority weight per thread-second may use the whole limit.
+func (c *Controller) withinConcurrencyLimit(engine *engine, request *request) bool {
+	classIndex := request.classIndex()
 	share := c.shares.Share(classIndex)
 	if classIndex == c.workload.Summary().HighestValueClass {
 		share = 1
 	}
 	return engine.concurrency.Allows(concurrency.Request{
-		Threads:       c.classes.all[classIndex].Threads,
+		Threads:       request.class.Threads,
 		ClassShare:    share,
 		WidestThreads: c.classes.maxThreads,
 		UnderPressure: c.underPressure(engine),
-	}, func() int { return c.threadsOfClass(engine, classIndex) })
+	}, func() int { return c.threadsOfClass(engine, request.class.slot.current()) })
 }
 
 // underPressure reports whether an engine, or the pool, receives more work than it completes. For an engine
--- a/control/dispatch_test.go
+++ b/control/dispatch_test.go
@@ -113,7 +113,7 @@
 	for i := range 40 {
 		class := c.classes.all[i%2]
 		e.enqueue(&request{
-			Request: Request{ID: fmt.Sprint(i)}, class: class, classIndex: i % 2,
+			Request: Request{ID: fmt.Sprint(i)}, class: class,
 			tenantIndex: i / 2 % 2, expectedWork: 1,
 		})
 	}
@@ -124,8 +124,8 @@
 		requireEqual(t, "queued on the engine", head.queuedOn, e)
 		c.popFrom(e, head)
 		requireEqual(t, "queued on no engine", head.queuedOn, nil)
-		classes[head.classIndex]++
-		if head.classIndex == 0 {
+		classes[head.classIndex()]++
+		if head.classIndex() == 0 {
 			tenants[head.tenantIndex]++
 		}
 	}
--- a/control/endpoints.go
+++ b/control/endpoints.go
@@ -61,13 +61,13 @@
 	s.all = slices.Insert(s.all, place, engine)
 }
 
-// growQueues extends all queues to the given number of classes and tenants.
-func (s *endpointSet) growQueues(classes, tenants int) {
+// moveQueues moves the classes of all queues to new indexes.
+func (s *endpointSet) moveQueues(indexes []int, classes int) {
 	for _, engine := range s.all {
-		engine.queue.Grow(classes, tenants)
+		engine.queue.MoveClasses(indexes, classes)
 	}
 	if s.pool != nil {
-		s.pool.queue.Grow(classes, tenants)
+		s.pool.queue.MoveClasses(indexes, classes)
 	}
 }
 
--- a/control/engine.go
+++ b/control/engine.go
@@ -99,19 +99,19 @@
 	}
 }
 
-// threadsOfClass returns the number of threads of a class that count against an engine's limit: those of its
+// threadsOfClass returns the number of threads of a class's slot that count against an engine's limit: those of its
 // attempts and, at the pool, those of requests that wait for load probes before they leave it.
-func (c *Controller) threadsOfClass(engine *engine, classIndex int) int {
-	class, requests := c.classes.all[classIndex], 0
+func (c *Controller) threadsOfClass(engine *engine, slot *classSlot) int {
+	threads := 0
 	for _, attempt := range engine.attempts {
-		if attempt.request.classIndex == classIndex && !attempt.threadsReleased {
-			requests++
+		if class := attempt.request.class; class.slot.current() == slot && !attempt.threadsReleased {
+			threads += class.Threads
 		}
 	}
 	if engine == c.endpoints.pool {
-		requests += class.awaitingProbes
+		threads += slot.awaitingProbeThreads
 	}
-	return requests * class.Threads
+	return threads
 }
 
 // loadKnown reports whether the engine accepts requests and its load is known.
--- a/control/interval.go
+++ b/control/interval.go
@@ -24,6 +24,9 @@
 		Elapsed: elapsed, Pooled: pool != nil, HoldShare: pool != nil && c.underPressure(pool),
 	})
 	c.shares.CloseInterval(measured, regular)
+	if indexes, changed := c.classes.closeInterval(); changed {
+		c.moveClasses(indexes)
+	}
 	c.price.Decay()
 	c.updateConcurrencyLimits(regular)
 }
--- a/control/loadprobes.go
+++ b/control/loadprobes.go
@@ -90,7 +90,7 @@
 // meanwhile.
 func (c *Controller) awaitProbes(request *request) {
 	class := request.class
-	class.awaitingProbes++
+	class.slot.current().awaitingProbeThreads += class.Threads
 	c.endpoints.pool.concurrency.Acquire(class.Threads)
 	c.startTimer(c.probeWait(), candidateProbesDue{request})
 }
@@ -98,8 +98,9 @@
 // finishCandidateProbes ends the wait that awaitProbes started and dispatches the request if it is still
 // open.
 func (c *Controller) finishCandidateProbes(request *request) {
-	request.class.awaitingProbes--
-	c.endpoints.pool.concurrency.Release(request.class.Threads)
+	class := request.class
+	class.slot.current().awaitingProbeThreads -= class.Threads
+	c.endpoints.pool.concurrency.Release(class.Threads)
 	if !request.closed {
 		c.dispatchToBestCandidate(request)
 	}
--- a/control/mayattempt_test.go
+++ b/control/mayattempt_test.go
@@ -34,7 +34,7 @@
 			e := c.newEngine(Engine{ID: "e"}, EngineKind{Cores: 8})
 			e.Zone, e.Kind = "a", "std"
 			e.member.Update(Ready)
-			r := newRequest(Request{ID: "r", Deadline: time.Minute}, c.classes.all[0], 0, 0, c.now)
+			r := newRequest(Request{ID: "r", Deadline: time.Minute}, c.classes.all[0], 0, c.now)
 			r.addAttempt(e, c.now).inFlight = false
 			if violate != nil {
 				violate(c, r, e)
--- a/control/queueing.go
+++ b/control/queueing.go
@@ -29,14 +29,14 @@
 func (e *engine) enqueue(request *request) {
 	request.queuedOn = e
 	work, threads := float64(request.expectedWork), float64(request.class.Threads)
-	e.queue.Push(request.classIndex, request.tenantIndex, request, work, threads)
+	e.queue.Push(request.classIndex(), request.tenantIndex, request, work, threads)
 }
 
 // popFrom removes the request at the head of its flow from an engine's queue and counts it as served.
 func (c *Controller) popFrom(engine *engine, request *request) {
-	classShare := float64(c.shares.Share(request.classIndex))
+	classShare := float64(c.shares.Share(request.classIndex()))
 	tenantShare := float64(c.workload.Tenants().Share(request.tenantIndex))
-	engine.queue.Pop(request.classIndex, request.tenantIndex, classShare, tenantShare)
+	engine.queue.Pop(request.classIndex(), request.tenantIndex, classShare, tenantShare)
 	request.queuedOn = nil
 }
 
--- a/control/requests.go
+++ b/control/requests.go
@@ -15,7 +15,6 @@
 type request struct {
 	Request
 	class             *class
-	classIndex        int
 	tenantIndex       int
 	receivedAt        time.Duration
 	objectiveDeadline time.Duration // end of the latency objective
@@ -32,9 +31,9 @@
 	dueTimer          uint64                    // token of its responseDue
 }
 
-func newRequest(received Request, class *class, classIndex, tenantIndex int, now time.Duration) *request {
+func newRequest(received Request, class *class, tenantIndex int, now time.Duration) *request {
 	request := &request{
-		Request: received, class: class, classIndex: classIndex, tenantIndex: tenantIndex,
+		Request: received, class: class, tenantIndex: tenantIndex,
 		receivedAt:   now,
 		expectedWork: class.Cost.ExpectedWork(received.EstimatedWork),
 		priority:     attemptoptions.MinPriority,
@@ -43,6 +42,9 @@
 	return request
 }
 
+// classIndex returns the index of the request's class. A reload may change it.
+func (r *request) classIndex() int { return r.class.slot.current().index }
+
 // addAttempt records the next attempt of the request, at an engine, as in flight.
 func (r *request) addAttempt(engine *engine, now time.Duration) *attempt {
 	attempt := &attempt{
@@ -104,6 +106,7 @@
 // add stores a request. A request of an ordered class joins the end of its order key's queue.
 func (t *requestTable) add(request *request) {
 	t.byID[request.ID] = request
+	request.class.slot.current().requests++
 	if !request.class.Ordered || request.OrderKey == "" {
 		return
 	}
@@ -136,7 +139,10 @@
 
 // remove removes a request from the table and from its order key's queue.
 func (t *requestTable) remove(request *request) {
-	delete(t.byID, request.ID)
+	if t.byID[request.ID] == request {
+		delete(t.byID, request.ID)
+		request.class.slot.current().requests--
+	}
 	if request.keyQueue != nil {
 		request.keyQueue.Remove(request)
 	}
@@ -161,7 +167,7 @@
 		}
 	}
 	if request.queuedOn != nil {
-		request.queuedOn.queue.Remove(request.classIndex, request.tenantIndex, request)
+		request.queuedOn.queue.Remove(request.classIndex(), request.tenantIndex, request)
 		request.queuedOn = nil
 	}
 	c.removeIfFinished(request)
--- a/control/selection_test.go
+++ b/control/selection_test.go
@@ -109,5 +109,5 @@
 	h.handle(ClientDisconnected{RequestID: abandoned})
 	h.advance(time.Second)
 	requireEqual(t, "threads after a disconnect", h.controller.endpoints.pool.concurrency.ThreadsInFlight(), 2)
-	requireEqual(t, "requests that wait for probes", h.controller.classes.all[1].awaitingProbes, 0)
+	requireEqual(t, "threads of requests that wait for probes", h.controller.classes.all[1].slot.awaitingProbeThreads, 0)
 }
--- a/control/shares/shares.go
+++ b/control/shares/shares.go
@@ -104,19 +104,22 @@
 // Coefficients returns a copy of the model's coefficients, for tests.
 func (r *Regulator) Coefficients() []float64 { return r.model.Coefficients() }
 
-// AddClass adds a class with the share that it would have if all shares were equal. A call of Restart must
-// follow.
-func (r *Regulator) AddClass() { r.shares = append(r.shares, 1/float64(len(r.shares)+1)) }
-
-// Restart scales the shares to sum to 1 and starts a new model, as the previous model has fewer classes.
-func (r *Regulator) Restart() {
-	sum := 0.0
-	for _, share := range r.shares {
-		sum += share
+// MoveClasses moves the classes to new indexes: previous holds the index that each had before, negative for one
+// that is new. A new class gets the share that it would have if the shares up to it were equal. The shares are
+// scaled to sum to 1, and a new model is started, as the previous one has other classes.
+func (r *Regulator) MoveClasses(previous []int) {
+	moved, sum := make([]float64, len(previous)), 0.0
+	for i, from := range previous {
+		moved[i] = 1 / float64(i+1)
+		if from >= 0 {
+			moved[i] = r.shares[from]
+		}
+		sum += moved[i]
 	}
-	for i := range r.shares {
-		r.shares[i] /= sum
+	for i := range moved {
+		moved[i] /= sum
 	}
+	r.shares = moved
 	r.resetModel()
 }
 
--- a/control/shares/shares_test.go
+++ b/control/shares/shares_test.go
@@ -102,9 +102,7 @@
 func TestAddedClassGetsEqualShare(t *testing.T) {
 	t.Parallel()
 	r := newRegulator()
-	r.AddClass()
-	r.AddClass()
-	r.Restart()
+	r.MoveClasses([]int{0, 1, -1, -1})
 	// 1/2, 1/2, 1/3 and 1/4, scaled to sum to 1.
 	for class, want := range []float64{6.0 / 19, 6.0 / 19, 4.0 / 19, 3.0 / 19} {
 		if got := float64(r.Share(class)); math.Abs(got-want) > 1e-9 {
--- a/control/slowstart_test.go
+++ b/control/slowstart_test.go
@@ -50,7 +50,7 @@
 				id, got := h.submit(class)
 				if countOf[SendAttempt](got) > 0 {
 					classes := h.controller.classes
-					all = append(all, sent{h.now, float64(classes.all[classes.byName[class]].Cost.MeanWork())})
+					all = append(all, sent{h.now, float64(classes.byName[class].Cost.MeanWork())})
 					senders[brokerIndex] = true
 					h.endAttempt(id, 0, OK)
 				}
--- a/control/view.go
+++ b/control/view.go
@@ -45,7 +45,7 @@
 		}
 		v.Engines = append(v.Engines, view)
 	}
-	for i, class := range c.classes.all {
+	for i, class := range c.classes.inForce() {
 		v.Classes = append(v.Classes, ClassView{Name: class.Name, Share: float64(c.shares.Share(i))})
 	}
 }
--- a/control/workload/class.go
+++ b/control/workload/class.go
@@ -29,8 +29,8 @@
 // latency objective.
 const initialWorkFraction = 0.25
 
-// newClassEstimates returns the estimates of a class without answers.
-func newClassEstimates(settings ClassSettings) *ClassEstimates {
+// NewClassEstimates returns the estimates of a class without answers.
+func NewClassEstimates(settings ClassSettings) *ClassEstimates {
 	objective, threads := settings.LatencyObjective.Seconds(), float64(settings.Threads)
 	return &ClassEstimates{
 		settings:    settings,
--- a/control/workload/workload.go
+++ b/control/workload/workload.go
@@ -4,6 +4,7 @@
 package workload
 
 import (
+	"slices"
 	"time"
 
 	"wheatlane/control/shares"
@@ -51,11 +52,11 @@
 	}
 }
 
-// AddClass adds a class under the next index, and returns its estimates.
-func (w *Workload) AddClass(settings ClassSettings) *ClassEstimates {
-	class := newClassEstimates(settings)
-	w.classes = append(w.classes, class)
-	return class
+// SetClasses sets the classes by index. previous holds the index that each had before, negative for one that is
+// new; it is empty if there were none.
+func (w *Workload) SetClasses(classes []*ClassEstimates, previous []int) {
+	w.classes = classes
+	w.summary.HighestValueClass = max(0, slices.Index(previous, w.summary.HighestValueClass))
 }
 
 // Tenants returns the tenants and their traffic.
--- a/control/workload/workload_test.go
+++ b/control/workload/workload_test.go
@@ -29,7 +29,7 @@
 
 func TestCostConvergesToReports(t *testing.T) {
 	t.Parallel()
-	cost := newClassEstimates(longSettings()).Cost
+	cost := NewClassEstimates(longSettings()).Cost
 	near(t, "initial work", cost.MeanWork(), 2, 1e-9)
 	near(t, "initial work with an estimate", cost.ExpectedWork(time.Second), 1, 1e-9)
 	near(t, "initial memory with an estimate", cost.MemoryMB(100), 125, 1e-9)
@@ -119,7 +119,7 @@
 	t.Parallel()
 	known := []Tenant{{Name: "large", Share: 0.75}, {Name: "small", Share: 0.25}, {Name: "none"}}
 	w := New(DefaultConfig(), known, 1)
-	w.AddClass(quickSettings())
+	w.SetClasses([]*ClassEstimates{NewClassEstimates(quickSettings())}, nil)
 	tenants := w.Tenants()
 	for _, name := range []string{"nobody", "", "large"} {
 		w.RequestReceived(0, tenants.Index(name))
@@ -157,7 +157,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			w := New(DefaultConfig(), []Tenant{{Share: 1, Quota: 100}}, 4)
-			w.AddClass(quickSettings())
+			w.SetClasses([]*ClassEstimates{NewClassEstimates(quickSettings())}, nil)
 			near(t, "initial share", w.TrafficShare(), 0.25, 1e-12)
 			for range c.requests {
 				w.RequestReceived(0, 0)
@@ -172,8 +172,8 @@
 func TestCloseIntervalReturnsMeasurementsOfEachClass(t *testing.T) {
 	t.Parallel()
 	w := New(DefaultConfig(), nil, 1)
-	quick := w.AddClass(quickSettings())
-	w.AddClass(longSettings())
+	quick := NewClassEstimates(quickSettings())
+	w.SetClasses([]*ClassEstimates{quick, NewClassEstimates(longSettings())}, nil)
 	for range 3 {
 		w.RequestReceived(0, 0)
 		quick.Traffic.Answered(500 * time.Millisecond)
@@ -192,8 +192,9 @@
 func TestSummary(t *testing.T) {
 	t.Parallel()
 	w := New(DefaultConfig(), nil, 1)
-	w.AddClass(quickSettings())        // 0.25 thread-seconds, weight 4 per thread-second
-	long := w.AddClass(longSettings()) // 2 thread-seconds, weight 2 per thread-second
+	quick := NewClassEstimates(quickSettings()) // 0.25 thread-seconds, weight 4 per thread-second
+	long := NewClassEstimates(longSettings())   // 2 thread-seconds, weight 2 per thread-second
+	w.SetClasses([]*ClassEstimates{quick, long}, nil)
 	for range 9 {
 		w.RequestReceived(0, 0)
 	}
--- a/internal/broker/behavior_test.go
+++ b/internal/broker/behavior_test.go
@@ -30,19 +30,19 @@
 }{
 	{
 		"ledger", fromFile("ledger.json"), 24, 7,
-		"302036f6af9768065b3ea625b4209096a2886425f7b93293935a8f6900319d89",
+		"711874b1446fc50456860843183bc4b2f3ba994dd79566b4230dc4c1390c1962",
 	},
 	{
 		"shortline", fromFile("shortline.json"), 24, 7,
-		"22ea191bd1718aaafacc1c0d14432f40dadb72902024077c425fed0dd2df84fe",
+		"6fb45f0c4bf54ba74930bc2538f142cfc86470278b940532163c8632ebcaebc0",
 	},
 	{
 		"small", smallDeployment, 8, 2,
-		"c7af052f69fae9f379190a0317d12bdb9e0eb7b20118534160d1557e2f1d7319",
+		"471edd5a7289daaa684ae09c272ace69d2917c8253a96d98328304865d6e1576",
 	},
 	{
 		"large", largeDeployment, 96, 40,
-		"a0d194b9c5708d3dab45beb3b6b4154936ef156d49e4eae6e7d33532cc478896",
+		"5081d0dfbffa22b5d5fca581d158934d999d0dfe6a35a8ae39b6486604336335",
 	},
 }
 
--- a/internal/broker/rarebehavior_test.go
+++ b/internal/broker/rarebehavior_test.go
@@ -20,7 +20,7 @@
 func TestRareBehaviorIsUnchanged(t *testing.T) {
 	t.Parallel()
 	const (
-		want  = "bcbf3de074bce9cf1483342cb0098d6bbde4e702807372b26901f547ba1d0ccf"
+		want  = "9c7b43a624f32424b2abfb0d37767761e11145437e1e8ab5660e43c3a395988d"
 		seeds = 4
 		steps = 2500
 	)
--- a/internal/broker/validation.go
+++ b/internal/broker/validation.go
@@ -1,6 +1,7 @@
 package broker
 
 import (
+	"maps"
 	"time"
 
 	"wheatlane/control"
@@ -14,14 +15,14 @@
 type requestValidator struct {
 	classes map[string]control.Class
 	// longestTimeouts holds the longest timeout that each class has had, by class name: for a while after a reload,
-	// clients still send requests with the previous timeouts, which are accepted.
+	// clients still send requests with the previous timeouts, which are accepted. It has the names of this configuration
+	// and of the previous one.
 	longestTimeouts map[string]time.Duration
 	tenants         map[string]bool // empty: any tenant is valid
 }
 
 func newRequestValidator(settings control.Settings) *requestValidator {
 	validator := &requestValidator{
-		classes:         map[string]control.Class{},
 		longestTimeouts: map[string]time.Duration{},
 		tenants:         map[string]bool{},
 	}
@@ -34,11 +35,17 @@
 
 // setClasses replaces the classes.
 func (v *requestValidator) setClasses(classes []control.Class) {
-	clear(v.classes)
+	previous := v.classes
+	v.classes = make(map[string]control.Class, len(classes))
 	for _, class := range classes {
 		v.classes[class.Name] = class
 		v.longestTimeouts[class.Name] = max(class.ClientTimeout, v.longestTimeouts[class.Name])
 	}
+	maps.DeleteFunc(v.longestTimeouts, func(name string, _ time.Duration) bool {
+		_, listed := v.classes[name]
+		_, listedBefore := previous[name]
+		return !listed && !listedBefore
+	})
 }
 
 // check returns the class of a request, or an error if a field is invalid.
--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -11,7 +11,7 @@
 type Queue[T comparable] struct {
 	classes     []classFlow[T] // empty until the first Push
 	classCount  int
-	tenantCount int     // of each class that is added next
+	tenantCount int     // of each class
 	virtualTime float64 // start tag of the class that was served last
 	length      int
 	threads     float64
@@ -44,27 +44,71 @@
 
 // New returns an empty queue for a number of classes, each with a number of tenants.
 func New[T comparable](classes, tenants int) Queue[T] {
-	q := Queue[T]{}
-	q.Grow(classes, tenants)
-	return q
+	return Queue[T]{classCount: classes, tenantCount: tenants}
 }
 
-// Grow adds classes until there are the given number. It doesn't change existing classes, and never removes one.
-func (q *Queue[T]) Grow(classes, tenants int) {
-	q.classCount, q.tenantCount = max(q.classCount, classes), tenants
-	if len(q.classes) > 0 {
-		q.allocate()
+// MoveClasses moves the classes to new indexes, after which there are the given number of classes: indexes holds the
+// new index of each class. Classes with the same new index become one. A negative index removes a class, which must
+// have no items.
+func (q *Queue[T]) MoveClasses(indexes []int, classes int) {
+	q.classCount = classes
+	if len(q.classes) == 0 {
+		return
+	}
+	previous := q.classes
+	q.classes = nil
+	q.allocate()
+	occupied := make([]bool, classes)
+	for from, to := range indexes {
+		switch {
+		case to < 0:
+		case occupied[to]:
+			q.classes[to].merge(&previous[from])
+		default:
+			q.classes[to], occupied[to] = previous[from], true
+		}
 	}
 }
 
-// allocate allocates the classes that were added.
+// allocate allocates the classes.
 func (q *Queue[T]) allocate() {
-	q.classes = slices.Grow(q.classes, q.classCount-len(q.classes))
-	for len(q.classes) < q.classCount {
-		q.classes = append(q.classes, classFlow[T]{tenants: make([]tenantFlow[T], q.tenantCount)})
+	q.classes = make([]classFlow[T], q.classCount)
+	for i := range q.classes {
+		q.classes[i].tenants = make([]tenantFlow[T], q.tenantCount)
+	}
+}
+
+// merge appends the items of another class. The class continues at the earlier of the two start tags if both have
+// items, and gains no credit: it finished its last item at the later of the two finish tags.
+func (f *classFlow[T]) merge(other *classFlow[T]) {
+	f.startTag = mergeStartTags(f.startTag, f.length, other.startTag, other.length)
+	f.finishTag, f.virtualTime = max(f.finishTag, other.finishTag), max(f.virtualTime, other.virtualTime)
+	f.work += other.work
+	f.length += other.length
+	for i := range f.tenants {
+		f.tenants[i].merge(&other.tenants[i])
 	}
 }
 
+// merge appends the items of another flow of the tenant.
+func (f *tenantFlow[T]) merge(other *tenantFlow[T]) {
+	f.startTag = mergeStartTags(f.startTag, len(f.items), other.startTag, len(other.items))
+	f.finishTag = max(f.finishTag, other.finishTag)
+	f.work += other.work
+	f.items = append(f.items, other.items...)
+}
+
+// mergeStartTags returns the start tag of two flows that become one, given their numbers of items.
+func mergeStartTags(tag float64, length int, otherTag float64, otherLength int) float64 {
+	switch {
+	case otherLength == 0:
+		return tag
+	case length == 0:
+		return otherTag
+	}
+	return min(tag, otherTag)
+}
+
 // Len returns the number of queued items.
 func (q *Queue[T]) Len() int { return q.length }
 
@@ -114,28 +158,32 @@
 }
 
 // Head returns the item with the smallest start tag: it selects the class first, and then the tenant within the
-// class. It skips classes that are not eligible; with a nil function, all classes are eligible. ok is false if no
-// eligible class has an item.
-func (q *Queue[T]) Head(eligible func(class int) bool) (value T, ok bool) {
-	var first *classFlow[T]
+// class. It skips classes whose first item is not eligible; with a nil function, all items are eligible. ok is false if
+// there is no eligible item.
+func (q *Queue[T]) Head(eligible func(first T) bool) (value T, ok bool) {
+	startTag := 0.0
 	for i := range q.classes {
 		flow := &q.classes[i]
-		earlier := flow.length > 0 && (first == nil || flow.startTag < first.startTag)
-		if earlier && (eligible == nil || eligible(i)) {
-			first = flow
+		if flow.length == 0 || ok && flow.startTag >= startTag {
+			continue
+		}
+		if first := flow.first(); eligible == nil || eligible(first) {
+			value, startTag, ok = first, flow.startTag, true
 		}
 	}
-	if first == nil {
-		return value, false
-	}
-	var firstTenant *tenantFlow[T]
-	for i := range first.tenants {
-		subflow := &first.tenants[i]
-		if len(subflow.items) > 0 && (firstTenant == nil || subflow.startTag < firstTenant.startTag) {
-			firstTenant = subflow
+	return value, ok
+}
+
+// first returns the item with the smallest start tag of a class that has items.
+func (f *classFlow[T]) first() T {
+	var first *tenantFlow[T]
+	for i := range f.tenants {
+		tenant := &f.tenants[i]
+		if len(tenant.items) > 0 && (first == nil || tenant.startTag < first.startTag) {
+			first = tenant
 		}
 	}
-	return firstTenant.items[0].value, true
+	return first.items[0].value
 }
 
 // Pop removes the first item of a tenant's flow as served: the tags advance by its work over the shares.
--- a/internal/fairqueue/fairqueue_test.go
+++ b/internal/fairqueue/fairqueue_test.go
@@ -64,7 +64,7 @@
 
 func TestHeadSkipsIneligibleClass(t *testing.T) {
 	q := backlog(2, 1, 1)
-	head, ok := q.Head(func(class int) bool { return class == 1 })
+	head, ok := q.Head(func(first int) bool { return first/100 == 1 })
 	want(t, "head", head, 100)
 	want(t, "found", ok, true)
 	_, ok = q.Head(func(int) bool { return false })
@@ -116,13 +116,35 @@
 	}
 }
 
-func TestGrowRetainsQueuedItems(t *testing.T) {
+func TestMoveClassesRetainsQueuedItems(t *testing.T) {
 	q := backlog(1, 1, 1)
-	q.Grow(3, 1)
+	q.MoveClasses([]int{0}, 3)
 	q.Push(2, 0, 200, 1, 1)
 	want(t, "length", q.Len(), 2)
-	head, _ := q.Head(func(class int) bool { return class == 2 })
+	head, _ := q.Head(func(first int) bool { return first == 200 })
 	want(t, "head of an added class", head, 200)
-	q.Grow(1, 1)
-	want(t, "length after Grow with fewer classes", q.Len(), 2)
+	q.MoveClasses([]int{1, -1, 1}, 2)
+	want(t, "length after a merge", q.Len(), 2)
+	want(t, "work of the merged class", q.ClassWork(1), 2)
+	for _, item := range []int{0, 200} {
+		head, _ := q.Head(nil)
+		want(t, "head of the merged class", head, item)
+		q.Pop(1, 0, 1, 1)
+	}
+	q.MoveClasses([]int{0, -1}, 1)
+	q.Push(0, 0, 300, 1, 1)
+	want(t, "length after a class was removed", q.Len(), 1)
+}
+
+// A class that is merged into another one keeps its place among the others: it gains no credit, and waits no longer.
+func TestMergedClassContinuesAtEarlierStartTag(t *testing.T) {
+	q := backlog(3, 1, 2)
+	q.Pop(0, 0, 0.5, 1)
+	q.Pop(1, 0, 0.25, 1)
+	first, second := q.classes[0], q.classes[1]
+	q.MoveClasses([]int{0, 0, 1}, 2)
+	want(t, "start tag", q.classes[0].startTag, min(first.startTag, second.startTag))
+	want(t, "finish tag", q.classes[0].finishTag, max(first.finishTag, second.finishTag))
+	head, _ := q.Head(nil)
+	want(t, "head", head, 200)
 }
