Pass KILL on to the process of an upgrade that has the session, under ids that differ

Cause: a session id meant something in one process only. KILL looked up the sessions of the process that received it, and both processes counted from the same seed, so that a KILL could also end a foreign query.

Change: the processes of a broker map one file with the counter of session ids, a heartbeat for each process and a ring of kills. A KILL for an unknown session is passed on with its time; it is answered with 1094 only if no living process knows the session. A log line tells of a KILL that comes from the other process.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -34,6 +34,7 @@
 	answeredSessions fifo.Queue[Session] // answered in the current call; their queued commands are executed at its end
 	requests         requestTable
 	requestIDs       RequestIDs
+	peers            PeerProcesses
 	input            SessionInput
 	deadlines        *clientdeadline.Estimator
 	endpoints        *endpointlist.List
@@ -62,6 +63,7 @@
 		sessions:   newSessionTable(maxSessions),
 		requests:   newRequestTable(),
 		requestIDs: noRequestIDs{},
+		peers:      noPeerProcesses{},
 		input:      noSessionInput{},
 		deadlines:  clientdeadline.New(),
 		endpoints:  endpointlist.New(),
@@ -107,9 +109,13 @@
 	return b.flushEffects()
 }
 
-// applyFleetEvent handles events from the fleet and from operators.
+// applyFleetEvent handles events from the other process of this broker, from the fleet and from operators.
 func (b *Broker) applyFleetEvent(now time.Duration, event Event) {
 	switch event := event.(type) {
+	case PeerKill:
+		b.killSession(now, Kill(event))
+	case KillAnswered:
+		b.killAnswered(now, event)
 	case GossipReceived:
 		b.batch.add(control.GossipReceived{Broker: event.Broker, Reports: event.Reports})
 	case EndpointChanges:
--- a/internal/broker/commandqueue.go
+++ b/internal/broker/commandqueue.go
@@ -105,6 +105,7 @@
 		b.abandon(now, request, cause)
 		session.openRequest = nil
 	}
+	b.stopAwaitingKill(session)
 	for session.queuedCommands.Len() > 0 {
 		b.rejectOrExecute(now, session, b.popQueued(session), endCauseTexts[cause])
 	}
@@ -117,6 +118,7 @@
 		return
 	}
 	command.execute(b, now, session)
+	b.stopAwaitingKill(session)
 }
 
 // answerAfterClose answers a command that was read before the broker closed its session; the answer is still sent.
--- a/internal/broker/commands.go
+++ b/internal/broker/commands.go
@@ -12,13 +12,13 @@
 	execute(b *Broker, now time.Duration, s *session)
 }
 
-// handleCommand executes a command, or queues it while its session has an open request.
+// handleCommand executes a command, or queues it while its session waits for the reply to another one.
 func (b *Broker) handleCommand(now time.Duration, command command) {
 	session := b.sessions.byID[command.sender()]
 	switch {
 	case session == nil:
 		b.answerAfterClose(now, command)
-	case session.openRequest == nil:
+	case !session.awaitsReply():
 		b.executeCommand(now, session, command)
 	default:
 		b.queueCommand(now, session, command)
@@ -29,7 +29,7 @@
 	session.evictFirst = false
 	command.execute(b, now, session)
 	switch {
-	case session.openRequest != nil:
+	case session.awaitsReply():
 		session.markBusy()
 	case b.sessions.byID[session.id] != session: // the command closed the session
 	case session.evictFirst:
@@ -56,25 +56,6 @@
 	}
 }
 
-func (c Kill) execute(b *Broker, now time.Duration, session *session) {
-	target := b.sessions.byID[c.Target]
-	if target == nil {
-		b.reply(session.id, Reply{Kind: ReplyUnknownSession, Text: unknownSessionText})
-		return
-	}
-	b.reply(session.id, Reply{Kind: ReplyOK})
-	target.killedAt = max(target.killedAt, c.SentAt)
-	if request := target.openRequest; request != nil {
-		b.reply(target.id, Reply{Kind: ReplyInterrupted, Text: queryKilledText})
-		b.abandon(now, request, EndKilled)
-		b.resumeSession(now, target.id)
-	}
-	if c.CloseConnection {
-		b.closeSession(target.id, CloseKilled)
-		b.endSession(now, target.id, EndKilled)
-	}
-}
-
 func (c ImmediateReply) execute(b *Broker, _ time.Duration, session *session) {
 	session.evictFirst = true
 	b.reply(session.id, c.Reply)
@@ -89,7 +70,7 @@
 	}
 }
 
-// resumeSession executes the queued commands of a session up to the first one that opens a request.
+// resumeSession executes the queued commands of a session up to the first one whose reply must be awaited.
 func (b *Broker) resumeSession(now time.Duration, id Session) {
 	session := b.sessions.byID[id]
 	if session == nil {
@@ -97,7 +78,7 @@
 	}
 	session.openRequest = nil
 	b.sessions.markIdle(now, session)
-	for session.openRequest == nil && session.queuedCommands.Len() > 0 {
+	for !session.awaitsReply() && session.queuedCommands.Len() > 0 {
 		b.handleCommand(now, b.popQueued(session))
 	}
 	if b.sessions.byID[id] == session { // a queued command may have closed it
--- a/internal/broker/events.go
+++ b/internal/broker/events.go
@@ -81,6 +81,18 @@
 	MessageAbandoned struct{ Session Session }
 )
 
+// Events of the other process of this broker.
+type (
+	// PeerKill is a KILL that a client sent to the other process, for a session of this one. RequestedBy is not set.
+	PeerKill Kill
+	// KillAnswered reports whether the other process knows the session of a KILL that was passed on to it
+	// (PeerProcesses).
+	KillAnswered struct {
+		Session Session // that sent the KILL
+		Known   bool
+	}
+)
+
 // Events of engines.
 type (
 	// FirstPageReceived reports that an engine has run an attempt, with the first page of the result and the number of
@@ -158,6 +170,8 @@
 
 func (SessionOpened) event()        {}
 func (SessionAuthenticated) event() {}
+func (PeerKill) event()             {}
+func (KillAnswered) event()         {}
 func (SubmitRequest) event()        {}
 func (Ping) event()                 {}
 func (Kill) event()                 {}
--- a/internal/broker/sessions.go
+++ b/internal/broker/sessions.go
@@ -12,7 +12,8 @@
 type session struct {
 	id             Session
 	openRequest    *request                  // the request that it waits for; nil: none
-	queuedCommands fifo.Queue[queuedCommand] // read after openRequest, not yet executed
+	awaitsKill     bool                      // it waits for the answer of the other process to its KILL
+	queuedCommands fifo.Queue[queuedCommand] // read after the command that it waits for, not yet executed
 	queuedRequests int                       // number of SubmitRequest commands in queuedCommands
 	killedAt       time.Duration             // requests sent before this time are killed
 
@@ -22,6 +23,9 @@
 	evictionEntry eviction.Entry // busy while the session has an open request
 }
 
+// awaitsReply reports whether the session waits for the reply to a command.
+func (s *session) awaitsReply() bool { return s.openRequest != nil || s.awaitsKill }
+
 // sessionTable holds the clients' sessions and the order in which they are evicted when the session limit is reached.
 type sessionTable struct {
 	max  int
@@ -160,7 +164,7 @@
 // message is answered first: its client may have stalled for a moment only.
 func (b *Broker) closeUnlessBusy(now time.Duration, id Session) {
 	session := b.sessions.byID[id]
-	if session == nil || session.openRequest != nil {
+	if session == nil || session.awaitsReply() {
 		return
 	}
 	b.closeSession(id, CloseMessageTimeout)
@@ -180,7 +184,7 @@
 
 // closeIfAnswered closes a session that sends no further command and has none to be answered.
 func (b *Broker) closeIfAnswered(now time.Duration, session *session) {
-	if session.closeOnceAnswered && session.openRequest == nil {
+	if session.closeOnceAnswered && !session.awaitsReply() {
 		b.closeSession(session.id, CloseEvictedIdle)
 		b.endSession(now, session.id, EndClientClosed)
 	}
--- a/internal/server/frontend/accept.go
+++ b/internal/server/frontend/accept.go
@@ -79,8 +79,7 @@
 		})
 		return
 	}
-	f.lastSession++
-	c := newClient(f, f.lastSession, socket)
+	c := newClient(f, f.cfg.NextSession(), socket)
 	// Posted by this goroutine, so that the loop registers the client before it is notified that the listener is closed.
 	f.loop.Post(ctx, func() {
 		f.clients[c.session] = c
--- a/internal/server/frontend/frontend.go
+++ b/internal/server/frontend/frontend.go
@@ -51,12 +51,13 @@
 
 // Config configures a frontend. Its functions may be called on any goroutine.
 type Config struct {
-	MaxConns    int            // maximum number of clients; further connections are rejected
-	InputBytes  int            // memory of large messages that are not complete
-	OutputBytes int            // memory of replies that were not sent
-	MaxRejected int            // maximum number of rejected connections that stay open until the client has read the error
-	LastSession broker.Session // session ids start after it
+	MaxConns    int // maximum number of clients; further connections are rejected
+	InputBytes  int // memory of large messages that are not complete
+	OutputBytes int // memory of replies that were not sent
+	MaxRejected int // maximum number of rejected connections that stay open until the client has read the error
 	Log         *zap.Logger
+	// NextSession returns the id of the next session.
+	NextSession func() broker.Session
 	// MaxClientTimeout returns the longest timeout that a request can have.
 	MaxClientTimeout func() time.Duration
 	// EarliestArrival returns the earliest time at which bytes may have arrived that were read at readAt by a goroutine
@@ -77,9 +78,6 @@
 	listenerClosed bool // all connections that had arrived are in clients
 	replyBuffer    []byte
 
-	// Owned by the goroutine that accepts.
-	lastSession broker.Session
-
 	// Used by several goroutines.
 	slots          chan struct{} // semaphore for the clients' connections
 	rejectSlots    chan struct{} // semaphore for the rejected connections that are still open
@@ -97,7 +95,6 @@
 	return &Frontend{
 		cfg: cfg, listener: listener, loop: loop, events: events, observer: observer,
 		clients:     map[broker.Session]*client{},
-		lastSession: cfg.LastSession,
 		slots:       make(chan struct{}, cfg.MaxConns),
 		rejectSlots: make(chan struct{}, cfg.MaxRejected),
 		input:       newInputMemory(cfg.InputBytes),
--- a/internal/server/frontend/helpers_test.go
+++ b/internal/server/frontend/helpers_test.go
@@ -82,8 +82,10 @@
 
 // newTestFrontend returns a frontend that uses a host. listener may be nil.
 func newTestFrontend(listener net.Listener, host *fakeHost, maxRejected int) *Frontend {
+	var lastSession broker.Session
 	return New(listener, Config{
-		MaxConns: 1, MaxRejected: maxRejected, Log: zap.NewNop(),
+		NextSession: func() broker.Session { lastSession++; return lastSession },
+		MaxConns:    1, MaxRejected: maxRejected, Log: zap.NewNop(),
 		MaxClientTimeout: func() time.Duration { return testTimeout },
 		EarliestArrival:  func(readAt time.Duration) time.Duration { return readAt },
 	}, host, host, host)
--- a/internal/server/runloop.go
+++ b/internal/server/runloop.go
@@ -17,6 +17,7 @@
 	defer func() { _ = s.frontend.Close() }() // the shutdown may have closed it
 	s.loop.apply(broker.EndpointChanges{Page: s.cfg.InitialEndpoints, WallOffset: clock.WallOffset()})
 	s.loop.apply(broker.RestoreMaintenance{Engines: s.restoredMaintenance})
+	defer s.kills.processes.Leave()
 	pacer := processpause.NewPacer(clock.Now())
 	defer pacer.Stop()
 	for {
@@ -49,6 +50,7 @@
 
 // runIteration advances the reducer's time and runs the periodic work of the engine pool and the usage log.
 func (s *Server) runIteration() {
+	s.kills.exchange()
 	s.loop.tick()
 	s.pool.CheckConnections()
 	s.loop.applyQueued()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -38,6 +38,7 @@
 	maintenance    *maintenanceModes
 	connections    *connectionLog
 	memory         *memoryMonitor
+	kills          *peerKills
 	pauses         processpause.Detector
 	longestTimeout longestTimeout // of all classes since the start
 	scope          runScope
@@ -94,6 +95,8 @@
 		s.handover = handoverstore.New(handoverstore.Config{Dir: cfg.HandoverPath, Broker: cfg.Name, Log: log})
 		s.restoredMaintenance = s.handover.Restore(ctx)
 	}
+	s.kills = &peerKills{processes: openProcesses(cfg, log), loop: s.loop, log: log}
+	reducer.SetPeerProcesses(s.kills)
 	s.maintenance = &maintenanceModes{loop: s.loop, store: s.handover, log: log}
 	s.createComponents(listener, budget, poolConfig)
 	return s, nil
@@ -109,7 +112,7 @@
 	}).divide
 	clients := frontendAdapter{s.loop, s.connections}
 	s.frontend = frontend.New(listener, frontend.Config{
-		MaxConns: budget.Clients, MaxRejected: budget.Rejected, LastSession: broker.Session(s.cfg.Seed), Log: s.log,
+		MaxConns: budget.Clients, MaxRejected: budget.Rejected, NextSession: s.nextSession, Log: s.log,
 		InputBytes: shares.InputBytes, OutputBytes: shares.OutputBytes,
 		MaxClientTimeout: s.longestTimeout.load, EarliestArrival: s.pauses.EarliestArrival,
 	}, clients, clients, clients)
@@ -129,6 +132,11 @@
 	}).execute
 }
 
+// nextSession returns a session id that no process of this broker has. Ids start after the seed.
+func (s *Server) nextSession() broker.Session {
+	return broker.Session(s.kills.processes.NextSession(uint32(s.cfg.Seed)))
+}
+
 // Addr returns the address that clients connect to.
 func (s *Server) Addr() net.Addr { return s.frontend.Addr() }
 
