--- a/control/shares/shares.go
+++ b/control/shares/shares.go
@@ -105,8 +105,8 @@
 func (r *Regulator) Coefficients() []float64 { return r.model.Coefficients() }
 
 // MoveClasses moves the classes to new indexes: previous holds the index that each had before, negative for
-// one that is new. A new class gets the share that it would have if the shares up to it were equal. The shares
-// are scaled to sum to 1, and a new model is started, as the previous one has other classes.
+// one that is new. A new class gets the share that it would have if the shares up to it were equal. The
+// shares are scaled to sum to 1, and a new model is started, as the previous one has other classes.
 func (r *Regulator) MoveClasses(previous []int) {
 	moved, sum := make([]float64, len(previous)), 0.0
 	for i, from := range previous {
