--- a/control/workload/workload.go
+++ b/control/workload/workload.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// SetClasses sets the classes by index. previous holds the index that each had before, negative for one that is
-// new; it is empty if there were none.
+// SetClasses sets the classes by index. previous holds the index that each had before, negative for one that
+// is new; it is empty if there were none.
 func (w *Workload) SetClasses(classes []*ClassEstimates, previous []int) {
 	w.classes = classes
 	w.summary.HighestValueClass = max(0, slices.Index(previous, w.summary.HighestValueClass))
--- a/internal/server/endpointwatch/backoff.go
+++ b/internal/server/endpointwatch/backoff.go
@@ -8,7 +8,7 @@
 
 const (
 	minPollBackoff        = 20 * time.Millisecond
-	maxPollBackoff        = 500 * time.Millisecond
+	maxPollBackoff        = 200 * time.Millisecond
 	pollBackoffJitter     = 0.5 // fraction by which a delay is randomly shortened or extended
 	pollBackoffMultiplier = 2   // from one delay to the next
 )
--- a/internal/server/endpointwatch/poll.go
+++ b/internal/server/endpointwatch/poll.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/cenkalti/backoff/v4"
@@ -37,9 +36,9 @@
 	earlyResponseBackoff *backoff.ExponentialBackOff // after early responses without a new revision
 }
 
-// poll polls on one connection until the connection ends, and returns the reason.
+// poll connects and polls on the connection until it ends, and returns the reason.
 func (w *Watcher) poll(ctx context.Context, addr string) error {
-	socket, err := (&net.Dialer{Timeout: w.timeouts.current().connect}).DialContext(ctx, "tcp", addr)
+	socket, err := w.connect(ctx, addr)
 	if err != nil {
 		return &netconn.EndError{Reason: netconn.ConnectFailed, Err: err}
 	}
--- a/internal/server/endpointwatch/timeouts.go
+++ b/internal/server/endpointwatch/timeouts.go
@@ -4,13 +4,11 @@
 
 // timeouts holds the timeouts of a connection to the change log.
 type timeouts struct {
-	connect time.Duration
 	grace   time.Duration // for a response, in addition to the hold time of the poll (pollTimeout)
 	partial time.Duration // for a response, from its first bytes to its last
 }
 
 const (
-	connectTimeout     = 500 * time.Millisecond
 	pollGrace          = 400 * time.Millisecond
 	partialPageTimeout = 400 * time.Millisecond
 )
@@ -18,9 +16,9 @@
 // timeoutLevels are the timeouts from the shortest to the longest. The shortest detect an unresponsive change log soon.
 // The longest tolerate a slow or saturated one, within the 2 s after which an update counts as announced.
 var timeoutLevels = [...]timeouts{
-	{connect: connectTimeout, grace: pollGrace, partial: partialPageTimeout},
-	{connect: 2 * connectTimeout, grace: time.Second, partial: 2 * partialPageTimeout},
-	{connect: 3 * connectTimeout, grace: 2 * time.Second, partial: 2 * time.Second},
+	{grace: pollGrace, partial: partialPageTimeout},
+	{grace: time.Second, partial: 2 * partialPageTimeout},
+	{grace: 2 * time.Second, partial: 2 * time.Second},
 }
 
 // responsesToShorten is the number of consecutive responses after which the timeouts are shortened by one level.
--- a/internal/server/endpointwatch/watcher.go
+++ b/internal/server/endpointwatch/watcher.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cenkalti/backoff/v4"
+
 	"wheatlane/internal/changelog"
 	"wheatlane/internal/server/netconn"
 )
@@ -34,11 +36,13 @@
 type Watcher struct {
 	sink         Sink
 	maxListBytes int
+	dial         func(ctx context.Context, network, addr string) (net.Conn, error)
 	polls        atomic.Uint64
 
 	// Owned by the goroutine of Run.
 	revision int64 // of the last page that the sink accepted
 	timeouts adaptiveTimeouts
+	retry    *backoff.ExponentialBackOff // after failures without progress
 
 	mu           sync.Mutex // guards the fields below
 	addr         string
@@ -53,6 +57,7 @@
 	}
 	return &Watcher{
 		sink: sink, revision: cfg.Revision, addr: cfg.Addr, maxListBytes: maxListBytes, cancelTarget: func() {},
+		retry: newPollBackoff(), dial: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 }
 
@@ -73,7 +78,7 @@
 // Run polls until ctx ends. The first poll after the end of a connection or a change of address is sent
 // immediately, later ones with backoff.
 func (w *Watcher) Run(ctx context.Context) error {
-	delay, retry := time.Duration(0), newPollBackoff()
+	delay := time.Duration(0)
 	for ctx.Err() == nil {
 		target, addr := w.target(ctx)
 		openedAt, revisionBefore := time.Now(), w.revision
@@ -88,14 +93,14 @@
 		w.sink.ConnectionEnded(addr, openedAt, err)
 		if addrChanged || w.revision > revisionBefore || time.Since(openedAt) > pollTimeout {
 			delay = 0
-			retry.Reset()
+			w.retry.Reset()
 		}
 		select {
 		case <-target.Done():
 			delay = 0
-			retry.Reset()
+			w.retry.Reset()
 		case <-time.After(delay):
-			delay = retry.NextBackOff()
+			delay = w.retry.NextBackOff()
 		}
 	}
 	return ctx.Err()
