--- a/internal/server/endpointwatch/dial.go
+++ b/internal/server/endpointwatch/dial.go
@@ -98,8 +98,8 @@
 	}
 }
 
-// jittered returns a delay that is randomly extended: brokers that lose the change log at the same time do not try again
-// in lockstep.
+// jittered returns a delay that is randomly extended: brokers that lose the change log at the same time do not try
+// again in lockstep.
 func jittered(delay time.Duration) time.Duration {
 	return time.Duration(float64(delay) * (1 + nextDialJitter*rand.Float64()))
 }
