soak: crowds in waves, reloads in series, slow upgrades under KILL, outages with drains behind

The verifier checks the order of keys at one process, and the drain after an outage. The order across the processes of an upgrade is not checked: nothing in the broker keeps it there, and no run was made for it.

--- a/measure/soak/behavior.go
+++ b/measure/soak/behavior.go
@@ -32,6 +32,7 @@
 	(*clientProcess).idleBetweenRequests, (*clientProcess).idleBetweenRequests,
 	(*clientProcess).pipeline, (*clientProcess).sendFragmented,
 	(*clientProcess).disconnectEarly, (*clientProcess).disconnectEarly,
+	(*clientProcess).killRequest, (*clientProcess).killRequest,
 	(*clientProcess).sendAtClose, (*clientProcess).abortRequest,
 	(*clientProcess).requestUntilClosed, (*clientProcess).requestUntilClosed,
 }
@@ -166,9 +167,18 @@
 	})
 }
 
+// killRequest is disconnectEarly by KILL QUERY, whose connection may reach the other process of an upgrade.
+func (c *clientProcess) killRequest(ctx context.Context, broker string) {
+	c.disconnectBy(ctx, broker, rawclient.ByKill)
+}
+
 // disconnectEarly sends a request and, after a random part of its timeout, cancels it or disconnects: by KILL QUERY, a
 // close or a reset.
 func (c *clientProcess) disconnectEarly(ctx context.Context, broker string) {
+	c.disconnectBy(ctx, broker, rawclient.DisconnectMethod(c.source.IntN(rawclient.DisconnectMethodCount)))
+}
+
+func (c *clientProcess) disconnectBy(ctx context.Context, broker string, by rawclient.DisconnectMethod) {
 	c.withFirstRequest(ctx, broker, true, func(session *rawclient.Session, req *request) {
 		wait := c.source.Duration(req.timeout)
 		answer, err := session.ReadAnswer(time.Now().Add(wait))
@@ -179,7 +189,6 @@
 		case !errors.Is(err, os.ErrDeadlineExceeded):
 			c.reportEnded(req, ConnectionClosed, err.Error())
 		default:
-			by := rawclient.DisconnectMethod(c.source.IntN(rawclient.DisconnectMethodCount))
 			session.Disconnect(ctx, req.broker, by, func(by rawclient.DisconnectMethod) {
 				c.reportEnded(req, ClientDisconnected, by.String())
 			})
--- a/measure/soak/broker.go
+++ b/measure/soak/broker.go
@@ -24,9 +24,10 @@
 )
 
 // settingsTemplate is the settings object of a run. The verbs are the client timeout of lookup in nanoseconds, whether
-// hedging is allowed, the number of brokers, and the client timeouts of report and load.
+// hedging is allowed, the number of brokers, the client timeouts of report and load, and the number of the reload,
+// after which a class without requests is named.
 const settingsTemplate = `{"PeersTotal":%[3]d,"RoundNs":5000000,"MachineTypes":["std-8core"],
- "Domain":{"SizeCores":[4],"KindMemoryMb":[8192],"WidthByClass":[1,2,1],"ClassLoad":[false,false,false],
+ "Domain":{"SizeCores":[4],"KindMemoryMb":[8192],"WidthByClass":[1,2,1,1],"ClassLoad":[false,false,false,false],
   "SaysCost":true},
  "Stats":{"Fields":["queue","x1","x0"]},
  "Limits":{"Cancel":true,"MaxAttempts":4,"MaxRetryAfterNs":500000000,"RetryAfter":true,"ParallelTries":%[2]t,
@@ -39,7 +40,8 @@
   {"Name":"report","Effect":"once","PromiseNs":1500000000,"AimStretch":2.5,"GiveUpNs":%[4]d,
    "Worth":5,"LateWorth":0.3},
   {"Name":"load","Effect":"by_key","WindowNs":15000000000,"PromiseNs":2000000000,"AimStretch":3,
-   "GiveUpNs":%[5]d,"Worth":5,"LateWorth":0.3,"ByArrival":true}]}`
+   "GiveUpNs":%[5]d,"Worth":5,"LateWorth":0.3,"ByArrival":true},
+  {"Name":"renamed-%[6]d","Effect":"repeatable","PromiseNs":400000000,"GiveUpNs":%[1]d,"Worth":1}]}`
 
 // brokerSlot is one broker of the fleet, at a fixed address. Its processes run one after the other, or overlap during
 // an upgrade.
@@ -86,7 +88,7 @@
 	timeouts := b.deployment.timeouts
 	first := timeouts[0] + time.Duration(n%2)*b.deployment.reloadDelta
 	settings := fmt.Sprintf(settingsTemplate, first.Nanoseconds(), b.hedging, b.fleetSize,
-		timeouts[1].Nanoseconds(), timeouts[2].Nanoseconds())
+		timeouts[1].Nanoseconds(), timeouts[2].Nanoseconds(), n)
 	text, err := json.Marshal(map[string]any{
 		"name": b.name, "listen": b.listen, "seed": "1", "changelog": b.changelogProxies[n%2].addr,
 		"limits":   map[string]int{"memory_mb": b.deployment.memoryMB, "sockets": b.deployment.sockets},
--- a/measure/soak/brokerfaults.go
+++ b/measure/soak/brokerfaults.go
@@ -17,6 +17,12 @@
 	repeatedReloads  = 10
 	reloadInterval   = 15 * time.Millisecond
 
+	// reloadsInSeries are so many that what each configuration leaves behind would exceed the memory of a broker.
+	reloadsInSeries = 60
+	seriesInterval  = 40 * time.Millisecond
+
+	maxUpgradeOverlap = 2 * time.Second // in which both processes serve
+
 	maxSignals        = 6 // of a series
 	maxSignalInterval = 300 * time.Millisecond
 )
@@ -33,12 +39,26 @@
 // upgradeBroker starts a second process beside the current one and terminates the previous process once the second one
 // serves.
 func (s *soak) upgradeBroker(ctx context.Context, broker *brokerSlot) error {
-	previous := broker.current()
+	return s.upgradeAfter(ctx, broker, 0)
+}
+
+// upgradeSlowly is upgradeBroker with a time in which both processes serve.
+func (s *soak) upgradeSlowly(ctx context.Context, broker *brokerSlot) error {
+	return s.upgradeAfter(ctx, broker, s.drawDuration(maxUpgradeOverlap))
+}
+
+func (s *soak) upgradeAfter(ctx context.Context, broker *brokerSlot, overlap time.Duration) error {
+	previous, from := broker.current(), time.Now()
 	if err := broker.start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
+	pacing.Pause(ctx, overlap)
 	s.recordTerm(broker)
-	return broker.terminate(previous)
+	err := broker.terminate(previous)
+	s.updateHistory(func(h *history) {
+		h.upgrades[broker.listen] = append(h.upgrades[broker.listen], span{from, time.Now()})
+	})
+	return err
 }
 
 // killBroker kills a broker by SIGKILL and starts it again after a pause.
@@ -75,6 +95,18 @@
 	return nil
 }
 
+// reloadInSeries reloads a broker many times. Each configuration renames a class (writeConfig).
+func (s *soak) reloadInSeries(ctx context.Context) error {
+	broker := s.brokers[s.draw(len(s.brokers))]
+	for i := 0; i < reloadsInSeries && ctx.Err() == nil; i++ {
+		if err := broker.reload(); err != nil {
+			return err
+		}
+		pacing.Pause(ctx, seriesInterval)
+	}
+	return nil
+}
+
 // hangUpAndTerminate sends a broker SIGHUP, immediately followed by SIGTERM, and starts it again.
 func (s *soak) hangUpAndTerminate(ctx context.Context, broker *brokerSlot) error {
 	if err := broker.reload(); err != nil {
--- a/measure/soak/crowd.go
+++ b/measure/soak/crowd.go
@@ -20,16 +20,31 @@
 	kilobytesPerMegabyte   = 1024
 )
 
-// startCrowds starts the misbehaving clients of all brokers. They end with ctx.
+// startCrowds starts the misbehaving clients of all brokers, and watches the memory of these. They end with ctx.
 func (s *soak) startCrowds(ctx context.Context) {
 	for _, broker := range s.brokers {
 		for i := range s.deployment.crowd {
 			go joinCrowd(ctx, broker.listen, i)
 		}
-		if s.deployment.crowd > 0 {
-			go s.watchMemory(ctx, broker)
-		}
+		go s.watchMemory(ctx, broker)
+	}
+}
+
+const (
+	minWaveTime   = 300 * time.Millisecond
+	waveTimeRange = 700 * time.Millisecond
+)
+
+// sendCrowdWave lets a crowd of misbehaving clients come to a broker at once, and leave at once.
+func (s *soak) sendCrowdWave(ctx context.Context) error {
+	broker := s.brokers[s.draw(len(s.brokers))]
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	for i := range crowdSize {
+		go joinCrowd(ctx, broker.listen, i)
 	}
+	pacing.Pause(ctx, minWaveTime+s.drawDuration(waveTimeRange))
+	return nil
 }
 
 // joinCrowd is one misbehaving client. It connects again whenever its connection ends.
--- a/measure/soak/request.go
+++ b/measure/soak/request.go
@@ -18,6 +18,8 @@
 	lateAnswerWindow = 500 * time.Millisecond // for an answer, after the client's timeout
 	closeRaceWindow  = 50 * time.Millisecond  // a request sent so shortly before a close counts as racing with it
 	dataSetCount     = 24
+	// largeStatementPadding makes a statement so long that a broker needs memory to read it.
+	largeStatementPadding = 3000
 )
 
 // clientTimeouts are the timeouts of clients, in the order of engineClasses.
@@ -51,6 +53,9 @@
 	}
 	class := client.Class{Engine: *req.class, Timeout: req.timeout}
 	req.statement = class.Statement(req.id, "fishing-fleet", "op"+req.id, req.key, c.source.IntN(dataSetCount), false)
+	if req.key != "" && c.source.IntN(2) == 0 {
+		req.statement += strings.Repeat(" ", largeStatementPadding)
+	}
 	return req
 }
 
--- a/measure/soak/verifier.go
+++ b/measure/soak/verifier.go
@@ -42,6 +42,8 @@
 	connectionBreaks map[string][]span      // by broker: faults that end its connections
 	engineDelays     map[string][]span      // by engine: process pauses, held bytes, delayed connections
 	changelogFaults  []span
+	outages          []span            // of the change log; a drain after one must be kept in time
+	upgrades         map[string][]span // by broker: two processes
 	drains           map[string][]span // by engine, from the publication on
 	maintenance      map[string][]span // by engine, once every broker has acknowledged it
 }
@@ -49,8 +51,8 @@
 func newHistory() *history {
 	return &history{
 		brokerKills: map[string][]span{}, brokerTerms: map[string][]time.Time{}, brokerStops: map[string][]span{},
-		connectionBreaks: map[string][]span{},
-		engineDelays:     map[string][]span{}, drains: map[string][]span{}, maintenance: map[string][]span{},
+		connectionBreaks: map[string][]span{}, upgrades: map[string][]span{},
+		engineDelays: map[string][]span{}, drains: map[string][]span{}, maintenance: map[string][]span{},
 	}
 }
 
@@ -92,6 +94,7 @@
 			h.verifyAttempt(&v, record, attempt)
 		}
 	}
+	h.verifyOrder(&v, records)
 	return v
 }
 
@@ -232,6 +235,9 @@
 	overlaps := func(s span) bool {
 		return s.overlaps(at.Add(-updateTolerance), at.Add(updateTolerance), updateTolerance)
 	}
-	return slices.ContainsFunc(h.changelogFaults, overlaps) ||
+	duringOutage := func(s span) bool {
+		return !at.Before(s.from.Add(-updateTolerance)) && at.Before(s.to)
+	}
+	return slices.ContainsFunc(h.changelogFaults, overlaps) || slices.ContainsFunc(h.outages, duringOutage) ||
 		slices.ContainsFunc(h.brokerStops[broker], overlaps) || slices.ContainsFunc(h.brokerKills[broker], overlaps)
 }
--- a/measure/soak/verifier_test.go
+++ b/measure/soak/verifier_test.go
@@ -99,3 +99,47 @@
 		}
 	}
 }
+
+// A request that begins before an earlier one of its key and broker is found, unless two processes served it.
+func TestVerifyFindsPassedRequest(t *testing.T) {
+	for name, tt := range map[string]struct {
+		begins time.Duration // of the earlier one; the later one begins at 200 ms
+		change func(h *history)
+		want   int
+	}{
+		"in order": {150 * ms, func(*history) {}, 0},
+		"passed":   {400 * ms, func(*history) {}, 1},
+		"during an upgrade": {
+			400 * ms, func(h *history) { h.upgrades["b1"] = []span{{at(-time.Second), at(0)}} }, 0,
+		},
+		"sent at once": {400 * ms, func(h *history) { h.events[1].At = at(minKeyInterval - ms) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHistory()
+			sent := Event{Kind: RequestSent, At: at(0), Broker: "b1", Request: "r1", Key: "k", Timeout: time.Second}
+			later := sent
+			later.At, later.Request = at(80*ms), "r2"
+			h.events = []Event{
+				sent, later,
+				{Kind: AttemptReceived, At: at(tt.begins), Engine: "e1", Request: "r1"},
+				{Kind: AttemptReceived, At: at(200 * ms), Engine: "e2", Request: "r2"},
+			}
+			tt.change(h)
+			if findings := h.verify().findings; len(findings) != tt.want {
+				t.Errorf("found %q, want %d", findings, tt.want)
+			}
+		})
+	}
+}
+
+// A drain just after an outage of the change log must be kept; one during the outage can't be known.
+func TestVerifyFindsDrainAfterOutage(t *testing.T) {
+	for end, want := range map[time.Duration]int{-530 * ms: 1, -400 * ms: 0} {
+		h := servedHistory()
+		h.drains["e1"] = []span{{at(-500 * ms), at(time.Minute)}}
+		h.outages = []span{{at(-5 * time.Second), at(end)}}
+		if findings := h.verify().findings; len(findings) != want {
+			t.Errorf("outage until %v: found %q, want %d", end, findings, want)
+		}
+	}
+}
