Leave time to exit after the last writes of the hand-over file

Cause, from the broker's log: the loop ended at 3.501 s, as its last request allowed; a write of the hand-over file had failed with an input/output error (the shim), and the writes at the end are retried for 0.2 s, all that is left until SIGKILL.

Change: they are retried for 0.1 s. TestFinalWriteLeavesTimeToExit failed with the old value.

--- a/internal/server/handoverstore/store.go
+++ b/internal/server/handoverstore/store.go
@@ -24,7 +24,7 @@
 	// restoreRetryTime bounds the attempts to read the file at the start.
 	restoreRetryTime = 2 * time.Second
 	// finalWriteTimeout bounds the attempts to write the file at the end, finalWriteRetryDelay is the time between them.
-	finalWriteTimeout    = 200 * time.Millisecond
+	finalWriteTimeout    = 100 * time.Millisecond
 	finalWriteRetryDelay = 25 * time.Millisecond
 	// writeLogInterval is the minimum time between log lines of failed writes.
 	writeLogInterval = time.Second
