frontend: grant the turn when an ordered request finds an earlier message; time the test by the rule

TestRequestDoesNotPassEarlierOneOfItsKeyThatWaitsForItsTurn sent its two requests within the resolution of the system's times of arrival, some milliseconds, so their order was not certain: it waits for the 60 ms now that the protocol keeps between two requests of a key; the order that it checks is the same.

An ordered request that waits for an earlier message now also gives that message its turn, which its reader else asked for at its next look, up to 25 ms later.

--- a/internal/server/frontend/messageturns.go
+++ b/internal/server/frontend/messageturns.go
@@ -124,6 +124,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.findArrived()
+	t.grant() // one that waits for memory learns so that it has arrived
 	for other, message := range t.messages {
 		if other != c && message.arrived && message.arrivedAt < at {
 			return true, t.changed
--- a/internal/server/frontend/messageturns_test.go
+++ b/internal/server/frontend/messageturns_test.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// waitBetweenRequests waits until the next request of a key may follow that of a client: by the protocol 60 ms lie between
+// them, far more than the resolution of the system's times of arrival.
+func waitBetweenRequests(t *testing.T, c *client) {
+	t.Helper()
+	const between = 60 * time.Millisecond
+	socktest.WaitUntil(t, "time passes", func() bool {
+		return c.frontend.sinceReceived(c.conn.Socket()) >= between
+	})
+}
+
 // A large request that had arrived waited for the memory of messages that never end, and a small one of its key that
 // came later ran first.
 func TestRequestDoesNotPassEarlierOneOfItsKeyThatWaitsForMemory(t *testing.T) {
@@ -51,8 +61,7 @@
 	second, secondFar := serveClient(t, f)
 	send(t, firstFar, orderedStatement(1, largeStatementBytes))
 	host.runUntil(t, "the first one waits", func() bool { return f.MemoryUse().Waiting == 1 })
-	const between = 50 * time.Millisecond // more than the resolution of the system's times of arrival
-	socktest.WaitUntil(t, "time passes", func() bool { return f.sinceReceived(first.conn.Socket()) > between })
+	waitBetweenRequests(t, first)
 	send(t, secondFar, orderedStatement(2, 0))
 	host.runUntil(t, "the second one is read", func() bool { return second.handling.Load() })
 	if ids := host.submitted(); len(ids) > 0 {
@@ -75,6 +84,7 @@
 	_, unorderedFar := serveClient(t, f)
 	send(t, firstFar, orderedStatement(1, largeStatementBytes))
 	host.runUntil(t, "the first one waits", func() bool { return f.turns.knows(first) })
+	waitBetweenRequests(t, first)
 	send(t, secondFar, orderedStatement(2, 0))
 	host.runUntil(t, "the second one is read", func() bool { return second.handling.Load() })
 	send(t, unorderedFar, packetBytes(0, "\x0e"))
