--- a/internal/server/frontend/messageturns_test.go
+++ b/internal/server/frontend/messageturns_test.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// waitBetweenRequests waits until the next request of a key may follow that of a client: by the protocol 60 ms lie between
-// them, far more than the resolution of the system's times of arrival.
+// waitBetweenRequests waits until the next request of a key may follow that of a client: by the protocol 60 ms lie
+// between them, far more than the resolution of the system's times of arrival.
 func waitBetweenRequests(t *testing.T, c *client) {
 	t.Helper()
 	const between = 60 * time.Millisecond
