server: expect a release and the retry beside it in either order

Trace: the two come on two connections, which the fake engine reads on two goroutines, so their order in the test is not determined; nothing requires one.

--- a/internal/server/fakeengine_test.go
+++ b/internal/server/fakeengine_test.go
@@ -132,6 +132,20 @@
 	return e.expect(t, commandStart)
 }
 
+// expectReleaseAndAttempt expects the next two messages to release an attempt and to start another one. They come on
+// two connections, so either may be read first.
+func (e *fakeEngine) expectReleaseAndAttempt(t *testing.T) (release, attempt engineMessage) {
+	t.Helper()
+	first := socktest.Receive(t, e.messages, "a release or an attempt")
+	if first.command() == commandRelease {
+		return first, e.expectAttempt(t)
+	}
+	if first.command() != commandStart {
+		t.Fatalf("engine received %q, want a release or an attempt", first.words)
+	}
+	return e.expect(t, commandRelease), first
+}
+
 // expectCancel expects the next message to cancel an attempt.
 func (e *fakeEngine) expectCancel(t *testing.T, attempt engineMessage) {
 	t.Helper()
--- a/internal/server/responses_test.go
+++ b/internal/server/responses_test.go
@@ -110,8 +110,11 @@
 			c := s.connect(statement("lookup", 1, longTimeout, ""))
 			attempt := e.expectAttempt(t)
 			attempt.reply(attempt.requestID(), "OK", fields, otherRow)
-			e.expect(t, commandRelease)
-			e.expectAttempt(t).replyRows(testRow)
+			release, retry := e.expectReleaseAndAttempt(t)
+			if release.conn != attempt.conn || retry.conn == attempt.conn {
+				t.Error("the retry must use another connection than the attempt and its release")
+			}
+			retry.replyRows(testRow)
 			c.expect(testRows)
 		})
 	}
